--- a/Makefile
+++ b/Makefile
@@ -37,10 +37,10 @@
 
 protocol: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc --proto_path=proto \
-	  --python_out=src/rattanspoke/transports \
-	  --grpc_python_out=src/rattanspoke/transports proto/peer.proto
+	  --python_out=src/rattanspoke/peering \
+	  --grpc_python_out=src/rattanspoke/peering proto/peer.proto
 	sed -i 's/^import peer_pb2/from . import _peer_pb2/' \
-	  src/rattanspoke/transports/peer_pb2_grpc.py
+	  src/rattanspoke/peering/peer_pb2_grpc.py
 
 # One file with every dependency; it unpacks into SHIV_ROOT, a memory directory.
 binary: $(STAMP)
--- /dev/null
+++ b/src/rattanspoke/_edge.py
@@ -0,0 +1,84 @@
+"""Puts together the services of a host that runs on the users' platform."""
+
+from dataclasses import dataclass
+
+from .contracts import (
+    COUNTERS,
+    DIRECTORY,
+    ENTRY,
+    FLEET,
+    IDENTITY,
+    LIFECYCLE,
+    LINES,
+    OBJECT_STORE,
+    PLACEMENTS,
+    SHARED_STATE,
+    STATE_CODEC,
+    UPSTREAM_LINES,
+    BudgetRule,
+    Counters,
+    Identity,
+    ObjectStore,
+    StateCodec,
+    UpstreamLines,
+)
+from .kernel import Kernel, ServiceKey
+from .model import HostEntry
+from .services import (
+    HostFleet,
+    HostLifecycle,
+    HostPlacements,
+    HostSharedState,
+    RequestEntry,
+    StoreFollower,
+    UpstreamChannels,
+    UpstreamDirectory,
+)
+
+FOLLOWER: ServiceKey[StoreFollower] = ServiceKey('store follower')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EdgePorts:
+    """What a host on the platform is connected to."""
+
+    counters: Counters
+    store: ObjectStore
+    codec: StateCodec
+    upstream_lines: UpstreamLines
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EdgeRules:
+    """What the platform lets all hosts together do."""
+
+    extra: BudgetRule
+
+
+def assemble_edge(
+    identity: Identity, entry: HostEntry, ports: EdgePorts, rules: EdgeRules, seed: int
+) -> Kernel:
+    """Return a kernel with every service of a host; entering it starts them.
+
+    Args:
+        identity: which host it is.
+        entry: how it makes itself known to other hosts.
+        ports: what it is connected to.
+        rules: bounds over all hosts.
+        seed: of the random choices that spread load.
+    """
+    kernel = Kernel()
+    kernel.provide(IDENTITY, identity)
+    kernel.provide(COUNTERS, ports.counters)
+    kernel.provide(OBJECT_STORE, ports.store)
+    kernel.provide(STATE_CODEC, ports.codec)
+    kernel.provide(UPSTREAM_LINES, ports.upstream_lines)
+    kernel.provide(LIFECYCLE, HostLifecycle())
+    kernel.provide(SHARED_STATE, HostSharedState(kernel))
+    kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
+    kernel.provide(FLEET, HostFleet(kernel, entry))
+    kernel.provide(LINES, UpstreamChannels(kernel))
+    kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra))
+    kernel.provide(ENTRY, RequestEntry(kernel))
+    kernel.provide(FOLLOWER, StoreFollower(kernel, seed))
+    return kernel
--- /dev/null
+++ b/src/rattanspoke/_edge_process.py
@@ -0,0 +1,136 @@
+"""One host as a process on the users' platform: listeners, signals, shutdown."""
+
+import asyncio
+import random
+import secrets
+import signal
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Self
+
+import structlog
+import uvicorn
+import uvloop
+
+from ._edge import EdgePorts, EdgeRules, assemble_edge
+from ._listening import QuietServer
+from .contracts import LIFECYCLE, BudgetRule, Identity
+from .kernel import Kernel
+from .model import HostEntry, Incarnation, Seconds
+from .observability import render_metrics
+from .platform import (
+    Application,
+    HostSettings,
+    HttpConnections,
+    HttpStore,
+    StateForms,
+    make_caller_app,
+    make_probe_app,
+)
+from .services import HostCounters
+
+# The balancer takes a host out after two probes, a second apart, that fail.
+BALANCER_TIME = Seconds(2.5)
+EXIT_RESERVE = Seconds(0.7)  # of the grace, for closing down once work has ended
+KEEP_ALIVE = 60  # seconds that a caller's idle connection stays open
+MAX_SEED = 2**32
+
+
+class EdgeProcess:
+    """A host that listens for callers and probes from entry to exit."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        self._settings = settings
+        counters = HostCounters()
+        life = Incarnation(secrets.token_hex(8))
+        identity = Identity(settings.host, life, settings.zone)
+        entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
+        self._store = HttpStore(settings.store, counters)
+        ports = EdgePorts(
+            counters=counters,
+            store=self._store,
+            codec=StateForms(),
+            upstream_lines=HttpConnections(),
+        )
+        extra = BudgetRule(settings.retry_ratio, settings.retry_slack)
+        seed = random.SystemRandom().randrange(MAX_SEED)
+        self.kernel: Kernel = assemble_edge(
+            identity, entry, ports, EdgeRules(extra=extra), seed
+        )
+        callers = make_caller_app(self.kernel)
+        probes = make_probe_app(self.kernel, render_metrics)
+        self._callers = _make_server(callers, settings.callers)
+        self._probes = _make_server(probes, settings.probes)
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self._store)
+            await stack.enter_async_context(self.kernel)
+            await stack.enter_async_context(self._probes)
+            await stack.enter_async_context(self._callers)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def leave(self) -> bool:
+        """Serve on until the balancer sends nothing more, then end what was taken.
+
+        Returns:
+            Whether all work ended within the grace.
+        """
+        lifecycle = self.kernel.find(LIFECYCLE)
+        lifecycle.leave()
+        await asyncio.sleep(BALANCER_TIME)
+        self._callers.stop()
+        left = self._settings.grace - BALANCER_TIME - EXIT_RESERVE
+        return await lifecycle.drain(Seconds(max(0, left)))
+
+
+async def _serve(settings: HostSettings) -> bool:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    log = structlog.get_logger()
+    loop.add_signal_handler(signal.SIGHUP, log.info, 'reload asked for')
+    async with EdgeProcess(settings) as process:
+        log.info('started', host=settings.host, callers=settings.callers)
+        await stopped.wait()
+        log.info('stopping')
+        drained = await process.leave()
+        log.info('stopped', drained=drained)
+    return drained
+
+
+def run_edge(settings: HostSettings) -> bool:
+    """Serve until SIGTERM or SIGINT; tell whether the shutdown cut nothing."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_serve(settings))
+
+
+def _make_server(application: Application, address: str) -> QuietServer:
+    host, _, port = address.rpartition(':')
+    config = uvicorn.Config(
+        application,
+        host=host,
+        port=int(port),
+        http='httptools',
+        ws='none',
+        interface='asgi3',
+        log_config=None,
+        access_log=False,
+        lifespan='off',
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        timeout_keep_alive=KEEP_ALIVE,
+    )
+    return QuietServer(config)
--- a/src/rattanspoke/_host.py
+++ b/src/rattanspoke/_host.py
@@ -8,11 +8,11 @@
     CLAIMS,
     CODEC,
     COUNTERS,
-    CUSTOMERS,
     IDENTITY,
     LIFECYCLE,
     LOADS,
     MEMBERS,
+    ORGANISATIONS,
     OWNER,
     PEER_TRANSPORT,
     PEERS,
@@ -37,10 +37,10 @@
     ClaimKeeper,
     HostBookings,
     HostCatalog,
-    HostCustomers,
     HostLifecycle,
     HostLoads,
     HostMembers,
+    HostOrganisations,
     HostSearches,
     HostSeats,
     HostSuspects,
@@ -79,7 +79,7 @@
     kernel.provide(WATCH, HostWatch(kernel, seed))
     kernel.provide(MEMBERS, HostMembers(kernel))
     kernel.provide(VERDICTS, HostVerdicts(kernel))
-    kernel.provide(CUSTOMERS, HostCustomers(kernel))
+    kernel.provide(ORGANISATIONS, HostOrganisations(kernel))
     kernel.provide(SUSPECTS, HostSuspects(kernel))
     kernel.provide(SEATS, HostSeats(kernel, seed))
     kernel.provide(OWNER, UpstreamOwner(kernel))
--- a/src/rattanspoke/_process.py
+++ b/src/rattanspoke/_process.py
@@ -4,9 +4,6 @@
 import random
 import secrets
 import signal
-import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
 from types import TracebackType
 from typing import Self
 
@@ -14,13 +11,14 @@
 import uvicorn
 
 from ._host import Ports, assemble_host
+from ._listening import QuietServer
 from ._settings import Settings
 from .contracts import LIFECYCLE, MEMBERS, SEATS, Identity
 from .kernel import Kernel
 from .model import Incarnation
+from .peering import GrpcTransport
 from .services import HostCounters, HostTimeline
 from .transports import (
-    GrpcTransport,
     HttpPlatform,
     HttpUpstreams,
     RecordCodec,
@@ -53,11 +51,10 @@
         seed = settings.seed or random.SystemRandom().randrange(MAX_SEED)
         self.kernel: Kernel = assemble_host(identity, ports, seed)
         self._server = _make_server(self.kernel, settings)
-        self._serving: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
         await self.kernel.__aenter__()
-        self._serving = asyncio.create_task(self._server.serve())
+        await self._server.__aenter__()
         return self
 
     async def __aexit__(
@@ -66,9 +63,7 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._server.should_exit = True
-        if self._serving is not None:
-            await self._serving
+        await self._server.__aexit__(exc_type, exc, trace)
         await self.kernel.__aexit__(exc_type, exc, trace)
 
     async def leave(self) -> bool:
@@ -86,15 +81,6 @@
         return await lifecycle.drain()
 
 
-class _Server(uvicorn.Server):
-    """The library's server without its handlers of signals."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Leave signals to the process."""
-        yield
-
-
 async def run_host(settings: Settings) -> bool:
     """Serve until SIGTERM or SIGINT; tell whether the shutdown cut nothing."""
     stopped = asyncio.Event()
@@ -111,20 +97,7 @@
     return drained
 
 
-def configure_logs(level: str) -> None:
-    """Write log lines as JSON to standard error."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
-
-
-def _make_server(kernel: Kernel, settings: Settings) -> _Server:
+def _make_server(kernel: Kernel, settings: Settings) -> QuietServer:
     host, _, port = settings.listen.rpartition(':')
     config = uvicorn.Config(
         make_front(kernel, settings.max_body),
@@ -135,4 +108,4 @@
         lifespan='off',
         timeout_keep_alive=KEEP_ALIVE,
     )
-    return _Server(config)
+    return QuietServer(config)
--- a/src/rattanspoke/commands/_bench.py
+++ b/src/rattanspoke/commands/_bench.py
@@ -29,7 +29,7 @@
 
     Attributes:
         hosts: base URLs, asked in turn.
-        token: the customer's bearer token.
+        token: the organisation's bearer token.
         rate: searches a second, sent whether or not answers come.
         seconds: for which to send.
         warm_up: seconds before that whose answers do not count.
--- a/src/rattanspoke/commands/_configure.py
+++ b/src/rattanspoke/commands/_configure.py
@@ -35,7 +35,7 @@
     name = 'get'
     description = 'Prints a record with its revision.'
     arguments = [
-        argument('kind', 'zone, service, upstream, customer, index or seats.'),
+        argument('kind', 'zone, service, upstream, organisation, index or seats.'),
         argument('name', 'The name of the record.'),
     ]
     options = [PLATFORM_OPTION]
--- a/src/rattanspoke/commands/_demo.py
+++ b/src/rattanspoke/commands/_demo.py
@@ -16,7 +16,7 @@
     Scenario,
     World,
     build_world,
-    customer_token,
+    organisation_token,
     zone_name,
 )
 from ._codes import ExitCode
@@ -124,7 +124,7 @@
     def _invite(self, stay: float) -> None:
         self._title(f'Up for {stay:.0f} seconds; try')
         self.line(
-            f"  curl -H 'Authorization: Bearer {customer_token(WERKBANK)}'"
+            f"  curl -H 'Authorization: Bearer {organisation_token(WERKBANK)}'"
             f' -d \'{{"service": "jobs", "query": "solder clasp"}}\''
             f' {URLS[0]}/v1/search'
         )
@@ -149,9 +149,9 @@
 
 
 async def _post(
-    client: httpx.AsyncClient, url: str, body: dict[str, Any], customer: str
+    client: httpx.AsyncClient, url: str, body: dict[str, Any], organisation: str
 ) -> dict[str, Any]:
-    headers = {'Authorization': f'Bearer token-of-{customer}'}
+    headers = {'Authorization': f'Bearer token-of-{organisation}'}
     response = await client.post(url, json=body, headers=headers)
     answer: dict[str, Any] = response.json()
     return answer
--- a/src/rattanspoke/commands/_drawing.py
+++ b/src/rattanspoke/commands/_drawing.py
@@ -91,7 +91,7 @@
 
 def _draw_event(event: dict[str, Any], across: int, down: int) -> str:
     colour = COLOURS.get(event['kind'], '#000')
-    about = event.get('upstream') or event.get('customer') or ''
+    about = event.get('upstream') or event.get('organisation') or ''
     text = f'{about} {event["detail"]}'.strip()
     shown = text if len(text) <= 34 else f'{text[:33]}…'
     return (
--- /dev/null
+++ b/src/rattanspoke/commands/_host.py
@@ -0,0 +1,39 @@
+"""Run one host on the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from .._edge_process import run_edge
+from ..model import SettingsError
+from ..observability import configure_logs
+from ..platform import SETTINGS_VARIABLE, load_host_settings
+from ._codes import ExitCode
+
+
+class HostCommand(Command):
+    """Run one host on the platform until it is told to stop."""
+
+    name = 'host'
+    description = "Runs one host on the users' platform until SIGTERM."
+    arguments = [
+        argument(
+            'settings',
+            f"The platform's settings file; {SETTINGS_VARIABLE} names it otherwise.",
+            optional=True,
+        )
+    ]
+
+    def handle(self) -> int:
+        """Check the settings and serve."""
+        path = self.argument('settings') or os.environ.get(SETTINGS_VARIABLE, '')
+        try:
+            settings = load_host_settings(Path(path))
+        except SettingsError as error:
+            self.line_error(str(error), style='error')
+            return ExitCode.INVALID
+        configure_logs('info', sys.stdout)
+        return ExitCode.OK if run_edge(settings) else ExitCode.FAILED
--- a/src/rattanspoke/commands/_inspect.py
+++ b/src/rattanspoke/commands/_inspect.py
@@ -67,7 +67,7 @@
         option('request', None, 'Only events of this request.', flag=False),
         option('upstream', None, 'Only events of this upstream.', flag=False),
         option('zone', None, 'Only events of this zone.', flag=False),
-        option('customer', None, 'Only events of this customer.', flag=False),
+        option('organisation', None, 'Only events of this organisation.', flag=False),
         option('format', 'f', 'text, json or html.', flag=False, default='text'),
     ]
 
@@ -89,7 +89,7 @@
     def _matches(self, event: dict[str, Any]) -> bool:
         return all(
             not self.option(key) or event.get(key) == self.option(key)
-            for key in ('request', 'upstream', 'zone', 'customer')
+            for key in ('request', 'upstream', 'zone', 'organisation')
         )
 
     def _print(self, events: list[dict[str, Any]]) -> None:
@@ -113,7 +113,7 @@
     """Return one event as a line of text."""
     about = ' '.join(
         f'{key}={event[key]}'
-        for key in ('request', 'upstream', 'zone', 'customer')
+        for key in ('request', 'upstream', 'zone', 'organisation')
         if event.get(key)
     )
     place = f'{event["tick"]:>8} {event["host"]:<21} {event["kind"]:<13}'
--- /dev/null
+++ b/src/rattanspoke/contracts/_edges.py
@@ -0,0 +1,231 @@
+"""Protocols of what serves callers on the users' platform."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Protocol, Self
+
+from ..model import (
+    CallerAnswer,
+    CallerRequest,
+    CallId,
+    DesiredState,
+    HostEntry,
+    Registration,
+    Revision,
+    Route,
+    Seconds,
+    ServiceId,
+    StateContent,
+    StateKind,
+    StoredObject,
+    UpstreamError,
+    UpstreamId,
+    UpstreamReply,
+)
+from ._ports import ObjectList
+
+
+class ObjectStore(Protocol):
+    """The platform's store of objects by kind and name.
+
+    Every method raises PlatformUnavailable when the call surely had no effect.
+    """
+
+    async def list_kind(self, kind: str) -> ObjectList:
+        """Return every object of a kind."""
+
+    async def watch_kind(self, kind: str, after: Revision, wait: Seconds) -> ObjectList:
+        """Return the changes of a kind after a revision, waiting for the first.
+
+        Raises:
+            PlatformHistoryGone: when the store no longer keeps that history.
+        """
+
+    async def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return one object, None when it does not exist."""
+
+    async def write(
+        self, kind: str, name: str, content: bytes, expected: Revision
+    ) -> Revision:
+        """Write an object if its revision is the expected one; zero means absent.
+
+        Raises:
+            PlatformConflict: when the revision is another.
+            PlatformReplyLost: when the write may have taken effect.
+        """
+
+    async def delete(self, kind: str, name: str, expected: Revision) -> None:
+        """Delete an object if its revision is the expected one; raises as write."""
+
+
+class StateCodec(Protocol):
+    """Turns objects of the store into values and back."""
+
+    def decode_state(self, kind: StateKind, stored: StoredObject) -> StateContent:
+        """Return what an object says; raises RecordError."""
+
+    def decode_host(self, stored: StoredObject) -> HostEntry:
+        """Return a host's entry; raises RecordError."""
+
+    def encode_host(self, entry: HostEntry) -> bytes:
+        """Return the content that decodes to a host's entry."""
+
+
+class UpstreamLine(Protocol):
+    """One open connection to an upstream; it takes one request at a time."""
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+
+    @property
+    def kept_for(self) -> Seconds | None:
+        """Seconds for which the upstream keeps it open while idle, if it told."""
+
+    async def exchange(
+        self, request: CallerRequest, upstream: UpstreamId, budget: Seconds
+    ) -> UpstreamReply:
+        """Send a request and return the whole reply.
+
+        Raises:
+            UpstreamError: when there is no reply; its outcome tells whether it ran.
+        """
+
+    def abort(self) -> None:
+        """Break the connection off, whatever is in flight."""
+
+    async def __aenter__(self) -> Self:
+        """Return the open connection."""
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection."""
+
+
+class UpstreamLines(Protocol):
+    """Opens connections to upstreams."""
+
+    async def open(self, address: str, limit: Seconds) -> UpstreamLine:
+        """Open a connection within some seconds.
+
+        Raises:
+            UpstreamError: nothing was sent.
+        """
+
+
+class SharedState(Protocol):
+    """What this host knows of the state that every host follows."""
+
+    @property
+    def desired(self) -> DesiredState | None:
+        """The newest desired state, None while none is known."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every kind of state was read at least once."""
+
+    def revision(self, kind: StateKind) -> Revision:
+        """Return the revision up to which a kind is known."""
+
+    def select_after(
+        self, kind: StateKind, revision: Revision
+    ) -> tuple[StoredObject, ...]:
+        """Return what changed of a kind after a revision, deletions included."""
+
+    def adopt_list(self, kind: StateKind, listing: ObjectList) -> None:
+        """Take a complete listing of a kind; what it lacks was deleted."""
+
+    def adopt_changes(
+        self, kind: StateKind, after: Revision, changes: ObjectList
+    ) -> bool:
+        """Take the changes after a revision; False if some before it are unknown."""
+
+
+class Directory(Protocol):
+    """Which upstreams may be sent work now."""
+
+    def replicas(self, service: ServiceId) -> tuple[Registration, ...]:
+        """Return the upstreams of a service that may be sent new work."""
+
+
+class Fleet(Protocol):
+    """The hosts of the tier that are alive."""
+
+    @property
+    def live_count(self) -> int:
+        """Hosts that may be sending work to upstreams, this one included."""
+
+
+class Lines(Protocol):
+    """Connections to upstreams, and the work that waits for one."""
+
+    async def send(
+        self, request: CallerRequest, route: Route, target: Registration
+    ) -> UpstreamReply:
+        """Send a request to one upstream and return the whole reply.
+
+        Raises:
+            UpstreamError: when there is no reply; its outcome tells whether it ran.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetRule:
+    """What all hosts together may send to a service beside first sends.
+
+    Attributes:
+        ratio: extra sends for each request of the service.
+        slack: extra sends in a window beside that.
+    """
+
+    ratio: float
+    slack: float
+
+
+class Placements(Protocol):
+    """Which upstream to send to, and what extra sends may cost."""
+
+    def choose(
+        self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
+    ) -> Registration | None:
+        """Return the upstream to send to next, None when none can take work now."""
+
+    def return_in(self, service: ServiceId) -> Seconds:
+        """Return the seconds until a service is expected to take work again."""
+
+    def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
+        """Return the seconds without a reply after which to ask a second upstream."""
+
+    def count_request(self, service: ServiceId) -> None:
+        """Count a caller's request for a service, which earns it extra sends."""
+
+    def spend_extra(self, service: ServiceId) -> bool:
+        """Take one extra send from a service's budget; False when it is spent."""
+
+    def note_sent(self, target: Registration) -> CallId:
+        """Count a request that is about to be sent, and return its number."""
+
+    def note_reply(
+        self, target: Registration, call: CallId, route: Route, reply: UpstreamReply
+    ) -> None:
+        """Learn from a whole reply."""
+
+    def note_failure(
+        self, target: Registration, call: CallId, route: Route, error: UpstreamError
+    ) -> None:
+        """Learn from a request that got no reply."""
+
+    def note_dropped(self, target: Registration, call: CallId, route: Route) -> None:
+        """Learn from a request whose reply nobody waits for any more."""
+
+
+class Entry(Protocol):
+    """Serves requests of callers."""
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """Return what the caller is told."""
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -1,18 +1,29 @@
 """Names of the services and the protocols behind them."""
 
 from ..kernel import ServiceKey, Topic
-from ..model import Change, HostId, UpstreamId
+from ..model import Change, HostId, StateChange, UpstreamId
+from ._edges import (
+    Directory,
+    Entry,
+    Fleet,
+    Lines,
+    ObjectStore,
+    Placements,
+    SharedState,
+    StateCodec,
+    UpstreamLines,
+)
 from ._ports import Codec, PeerTransport, Platform, UpstreamClient
 from ._services import (
     Bookings,
     Catalog,
     Claims,
     Counters,
-    Customers,
     Identity,
     Lifecycle,
     Loads,
     Members,
+    Organisations,
     Owner,
     Peers,
     Searches,
@@ -40,11 +51,22 @@
 SUSPECTS: ServiceKey[Suspects] = ServiceKey('suspects')
 OWNER: ServiceKey[Owner] = ServiceKey('owner')
 LOADS: ServiceKey[Loads] = ServiceKey('loads')
-CUSTOMERS: ServiceKey[Customers] = ServiceKey('customers')
+ORGANISATIONS: ServiceKey[Organisations] = ServiceKey('organisations')
 SEARCHES: ServiceKey[Searches] = ServiceKey('searches')
 CLAIMS: ServiceKey[Claims] = ServiceKey('claims')
 BOOKINGS: ServiceKey[Bookings] = ServiceKey('bookings')
 
+OBJECT_STORE: ServiceKey[ObjectStore] = ServiceKey('object store')
+STATE_CODEC: ServiceKey[StateCodec] = ServiceKey('state codec')
+UPSTREAM_LINES: ServiceKey[UpstreamLines] = ServiceKey('upstream lines')
+SHARED_STATE: ServiceKey[SharedState] = ServiceKey('shared state')
+DIRECTORY: ServiceKey[Directory] = ServiceKey('directory')
+FLEET: ServiceKey[Fleet] = ServiceKey('fleet')
+LINES: ServiceKey[Lines] = ServiceKey('lines')
+PLACEMENTS: ServiceKey[Placements] = ServiceKey('placements')
+ENTRY: ServiceKey[Entry] = ServiceKey('entry')
+
+STATE_CHANGED: Topic[StateChange] = Topic('state changed')
 RECORD_CHANGED: Topic[Change] = Topic('record changed')
 MEMBER_CHANGED: Topic[HostId] = Topic('member changed')
 SEATS_CHANGED: Topic[UpstreamId] = Topic('seats changed')
--- a/src/rattanspoke/contracts/_services.py
+++ b/src/rattanspoke/contracts/_services.py
@@ -15,8 +15,6 @@
     ClaimReply,
     ClaimSettle,
     CrashReport,
-    CustomerId,
-    CustomerRecord,
     Event,
     EventKind,
     Fingerprint,
@@ -25,6 +23,8 @@
     Incarnation,
     IndexRecord,
     Message,
+    OrganisationId,
+    OrganisationRecord,
     Policy,
     Reason,
     Receipt,
@@ -114,7 +114,7 @@
         request: RequestId | None = None,
         upstream: UpstreamId | None = None,
         zone: ZoneId | None = None,
-        customer: CustomerId | None = None,
+        organisation: OrganisationId | None = None,
     ) -> None:
         """Keep an event."""
 
@@ -142,7 +142,7 @@
     def leave(self) -> None:
         """Tell everyone who asks that the host is stopping."""
 
-    async def drain(self) -> bool:
+    async def drain(self, limit: Seconds = ...) -> bool:
         """Wait until all work has ended; tell whether it did within the limit."""
 
     def close(self) -> None:
@@ -192,8 +192,8 @@
     def seats(self, zone: ZoneId) -> SeatsRecord | None:
         """Return a zone's seats record."""
 
-    def customers(self) -> list[CustomerRecord]:
-        """Return the records of all customers."""
+    def organisations(self) -> list[OrganisationRecord]:
+        """Return the records of all organisations."""
 
     def explain_out(self, upstream: UpstreamRecord) -> Reason | None:
         """Return why operators let an upstream receive no work, None if they do."""
@@ -370,19 +370,19 @@
         """Count work that is no longer waited for."""
 
 
-class Customers(Protocol):
+class Organisations(Protocol):
     """Who may ask for what, and how much of it."""
 
-    def authenticate(self, token: str) -> CustomerRecord:
-        """Return the customer whose token it is; raises RequestError."""
+    def authenticate(self, token: str) -> OrganisationRecord:
+        """Return the organisation whose token it is; raises RequestError."""
 
-    def find_priority(self, customer: CustomerId) -> int:
-        """Return a customer's class of work, that of the lowest for an unknown one."""
+    def find_priority(self, organisation: OrganisationId) -> int:
+        """Return an organisation's class of work, the lowest for an unknown one."""
 
-    def find_policy(self, customer: CustomerId) -> Policy:
-        """Return what a customer weighs."""
+    def find_policy(self, organisation: OrganisationId) -> Policy:
+        """Return what an organisation weighs."""
 
-    def admit(self, customer: CustomerRecord, service: ServiceId) -> None:
+    def admit(self, organisation: OrganisationRecord, service: ServiceId) -> None:
         """Count a request against the quota; raises RequestError."""
 
 
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -19,6 +19,10 @@
     settle_claim,
     take_claim,
 )
+from ._extra import (
+    first_hedge,
+    make_extra_budget,
+)
 from ._gathering import (
     NOW,
     Gathering,
@@ -59,6 +63,18 @@
     SELF_FENCE,
     Membership,
 )
+from ._merging import (
+    merge_records,
+    split_records,
+)
+from ._patience import (
+    AnswerWhenEnough,
+    Patience,
+    WaitForAll,
+    choose_patience,
+    count_needed,
+    plan_answer,
+)
 from ._plan import (
     REUSE_BONUS,
     UNUSABLE,
@@ -83,6 +99,15 @@
 from ._rendezvous import (
     rank_hosts,
 )
+from ._replicas import (
+    Failure,
+    Replica,
+    choose_replica,
+)
+from ._routes import (
+    RouteTable,
+    WeightSpread,
+)
 from ._suspicion import (
     CONVICTING_CRASHES,
     MAX_SUSPECTS,
@@ -147,8 +172,10 @@
     'WINDOW',
     'Adoption',
     'Allowance',
+    'AnswerWhenEnough',
     'Assignment',
     'Claims',
+    'Failure',
     'FairQueue',
     'Gathering',
     'Holders',
@@ -158,24 +185,37 @@
     'Membership',
     'Name',
     'Part',
+    'Patience',
     'Ramp',
     'RatioBudget',
+    'Replica',
+    'RouteTable',
     'Suspicion',
     'Throttle',
     'Ticket',
     'TokenBucket',
     'UpstreamLoad',
+    'WaitForAll',
+    'WeightSpread',
     'Work',
     'assign_shards',
     'check_record',
     'choose_owners',
+    'choose_patience',
     'choose_quantile',
+    'choose_replica',
     'choose_version',
+    'count_needed',
     'find_surplus',
+    'first_hedge',
     'list_holders',
+    'make_extra_budget',
+    'merge_records',
     'name_claim',
+    'plan_answer',
     'propose_seats',
     'rank_hosts',
     'settle_claim',
+    'split_records',
     'take_claim',
 )
--- a/src/rattanspoke/decisions/_allowance.py
+++ b/src/rattanspoke/decisions/_allowance.py
@@ -24,7 +24,7 @@
     """Budgets and latencies that outlive a search, seen by one search.
 
     Attributes:
-        policy: what the customer weighs.
+        policy: what the organisation weighs.
         whole: seconds that the search may take.
         window: latencies of the service's sub-requests.
         hedges: the budget of hedged shards.
--- a/src/rattanspoke/decisions/_claiming.py
+++ b/src/rattanspoke/decisions/_claiming.py
@@ -13,8 +13,8 @@
 
 
 def name_claim(ask: ClaimAsk | ClaimSettle) -> str:
-    """Return the name under which a request's claim is kept; customers never share."""
-    return f'{ask.customer}/{ask.key}'
+    """Return the name of a request's claim; organisations never share one."""
+    return f'{ask.organisation}/{ask.key}'
 
 
 def take_claim(claims: Claims, ask: ClaimAsk) -> ClaimReply:
--- /dev/null
+++ b/src/rattanspoke/decisions/_extra.py
@@ -0,0 +1,29 @@
+"""How many extra sends a service may get from this host.
+
+Load pattern: a tenth of the upstreams turns slow at once, so that most searches would
+like to hedge, while every hedge and retry adds to the load of the others. The platform
+bounds the extra arrivals of all hosts together in each window; every host keeps to its
+part without asking the others.
+"""
+
+from ..model import Seconds
+from ._budget import RatioBudget
+
+SAFE_PART = 0.85  # of the allowed ratio and slack; views of the fleet's size may differ
+
+
+def make_extra_budget(ratio: float, slack: float, live_hosts: int) -> RatioBudget:
+    """Return one host's part of what a service may get beside first sends.
+
+    Args:
+        ratio: extra sends for each request, over all hosts.
+        slack: extra sends in a window beside that, over all hosts.
+        live_hosts: hosts that share the slack.
+    """
+    capacity = max(1, slack * SAFE_PART / max(1, live_hosts))
+    return RatioBudget(ratio=ratio * SAFE_PART, capacity=capacity, saved=capacity)
+
+
+def first_hedge(objective: Seconds) -> Seconds:
+    """Return the seconds to wait before a hedge while no latency is known yet."""
+    return Seconds(objective / 4)
--- a/src/rattanspoke/decisions/_queue.py
+++ b/src/rattanspoke/decisions/_queue.py
@@ -1,7 +1,7 @@
 """The owner's queue: class first, then fair shares, then urgency and deadline.
 
-Customers of one class share an upstream by start-time fair queueing. Urgency is the
-caller's own claim, so it orders work only among that customer's entries.
+Organisations of one class share an upstream by start-time fair queueing. Urgency is the
+caller's own claim, so it orders work only among that organisation's entries.
 """
 
 import heapq
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from ..model import CustomerId, Seconds
+from ..model import OrganisationId, Seconds
 
 Work = TypeVar('Work')
 
@@ -19,14 +19,14 @@
     """A piece of work with what decides its turn.
 
     Attributes:
-        priority: the customer's class; a lower number goes first.
+        priority: the organisation's class; a lower number goes first.
         urgency: the caller's claim; a higher number goes first in its own share.
         deadline: the time after which the work is useless.
         solo: whether the work must not share a call with other work.
     """
 
     work: Work
-    customer: CustomerId
+    organisation: OrganisationId
     priority: int
     urgency: int
     deadline: Seconds
@@ -45,7 +45,7 @@
     __slots__ = ('_classes', '_count', '_length', '_virtual')
 
     def __init__(self) -> None:
-        self._classes: dict[int, dict[CustomerId, _Share[Work]]] = {}
+        self._classes: dict[int, dict[OrganisationId, _Share[Work]]] = {}
         self._virtual: dict[int, float] = {}
         self._count = 0
         self._length = 0
@@ -54,9 +54,9 @@
         return self._length
 
     def push(self, ticket: Ticket[Work]) -> None:
-        """Add a ticket; an idle customer starts level with the one served last."""
+        """Add a ticket; an idle organisation starts level with the one served last."""
         shares = self._classes.setdefault(ticket.priority, {})
-        share = shares.setdefault(ticket.customer, _Share())
+        share = shares.setdefault(ticket.organisation, _Share())
         if not share.tickets:
             share.served = max(share.served, self._virtual.get(ticket.priority, 0))
         self._count += 1
@@ -87,18 +87,18 @@
             batch.append(ticket)
         return batch
 
-    def count_ahead(self, customer: CustomerId, priority: int) -> int:
+    def count_ahead(self, organisation: OrganisationId, priority: int) -> int:
         """Return how many tickets a new one would wait for, at most.
 
-        In its own class a customer waits for its own tickets and for as many of each
-        other customer's as it has itself, but for no more than they have.
+        In its own class an organisation waits for its own tickets and for as many of
+        each other organisation's as it has itself, but for no more than they have.
         """
         ahead = 0
         for level, shares in self._classes.items():
             if level < priority:
                 ahead += sum(len(share.tickets) for share in shares.values())
             elif level == priority:
-                ahead += self._count_class(shares, customer)
+                ahead += self._count_class(shares, organisation)
         return ahead
 
     def drain(self) -> list[Ticket[Work]]:
@@ -106,9 +106,9 @@
         return [self.pop() for _ in range(self._length)]
 
     def _count_class(
-        self, shares: dict[CustomerId, _Share[Work]], customer: CustomerId
+        self, shares: dict[OrganisationId, _Share[Work]], organisation: OrganisationId
     ) -> int:
-        own = len(shares[customer].tickets) if customer in shares else 0
+        own = len(shares[organisation].tickets) if organisation in shares else 0
         return sum(min(len(share.tickets), own + 1) for share in shares.values())
 
     def _pop_class(self, priority: int) -> Ticket[Work] | None:
--- /dev/null
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -0,0 +1,120 @@
+"""Which replica of a service to send to.
+
+Load patterns: an upstream that pauses for a fraction of a second, one that runs many
+times slower for seconds, one that is dark, one that sheds, one that fails fast. Each
+loses its traffic within a few calls and gets it back when it has healed; one that
+fails fast must not look idle.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+from ..model import CallId, Seconds, UpstreamId, ZoneId
+
+OTHER_ZONE = 1.25  # cost factor of a replica in another zone; bytes there are dear
+SMOOTHING = 0.25  # weight of the newest sample in the moving average
+FAILURE_SLOWNESS = 8  # a failed call counts like one this many times slower than usual
+FADE_TIME = Seconds(1.5)  # in which an unconfirmed slowness halves towards usual
+SHED_PAUSE = Seconds(0.1)  # after an upstream said that it is full
+FIRST_PAUSE = Seconds(0.25)  # after a failure to connect; it doubles from then on
+LONGEST_PAUSE = Seconds(2)  # so that a healed upstream is found within seconds
+FAILURES_TO_PAUSE = 3  # calls lost in a row until an upstream that connects is paused
+
+
+@unique
+class Failure(Enum):
+    """How a call to an upstream went wrong."""
+
+    UNREACHABLE = 'unreachable'
+    LOST = 'lost'
+    SHED = 'shed'
+    FAILED = 'failed'
+    FOREIGN = 'foreign'
+
+
+@dataclass(slots=True)
+class Replica:
+    """What this host saw of one upstream lately.
+
+    Attributes:
+        slots: requests that the upstream runs at once.
+        calls: when each call in flight was sent.
+        slowness: moving average of latency over what is usual for the route.
+    """
+
+    upstream: UpstreamId
+    zone: ZoneId
+    slots: int
+    calls: dict[CallId, Seconds] = field(default_factory=dict)
+    slowness: float = 1
+    seen: Seconds = Seconds(0)
+    failures: int = 0
+    paused_until: Seconds = Seconds(0)
+
+    def note_success(self, ratio: float, now: Seconds) -> None:
+        """Learn from a call that took some multiple of what is usual."""
+        self.failures = 0
+        self.paused_until = Seconds(0)
+        self._learn(ratio, now)
+
+    def note_slow(self, ratio: float, now: Seconds) -> None:
+        """Learn from a call that was given up after some multiple of what is usual."""
+        self._learn(ratio, now)
+
+    def note_failure(self, failure: Failure, now: Seconds) -> None:
+        """Learn from a call that failed."""
+        self._learn(FAILURE_SLOWNESS, now)
+        match failure:
+            case Failure.SHED:
+                self._pause(SHED_PAUSE, now)
+            case Failure.UNREACHABLE | Failure.FOREIGN:
+                self.failures += 1
+                self._pause(self._growing_pause(self.failures), now)
+            case Failure.LOST | Failure.FAILED:
+                self.failures += 1
+                if self.failures >= FAILURES_TO_PAUSE:
+                    over = self.failures - FAILURES_TO_PAUSE + 1
+                    self._pause(self._growing_pause(over), now)
+
+    def is_open(self, now: Seconds) -> bool:
+        """Whether it may be sent work; after a pause one call at a time tries it."""
+        if now < self.paused_until:
+            return False
+        return self.failures < FAILURES_TO_PAUSE or not self.calls
+
+    def expect(self, usual: Seconds, now: Seconds) -> float:
+        """Return the expected cost of one more call, as a multiple of usual."""
+        faded = 1 + (self.slowness - 1) * 0.5 ** ((now - self.seen) / FADE_TIME)
+        silence = now - min(self.calls.values(), default=now)
+        slowness: float = max(faded, silence / usual)
+        return slowness * (1 + len(self.calls) / self.slots)
+
+    def _learn(self, ratio: float, now: Seconds) -> None:
+        self.slowness += SMOOTHING * (ratio - self.slowness)
+        self.seen = now
+
+    def _pause(self, pause: Seconds, now: Seconds) -> None:
+        self.paused_until = Seconds(max(self.paused_until, now + pause))
+
+    def _growing_pause(self, count: int) -> Seconds:
+        return Seconds(min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(count - 1, 10)))
+
+
+def choose_replica(
+    replicas: Iterable[Replica], zone: ZoneId, usual: Seconds, now: Seconds
+) -> Replica | None:
+    """Return the replica that is expected to answer first, None when all are closed.
+
+    Args:
+        replicas: those that may be sent the request.
+        zone: that of this host.
+        usual: seconds that a call of this route usually takes.
+    """
+
+    def cost(replica: Replica) -> float:
+        factor = 1 if replica.zone == zone else OTHER_ZONE
+        return replica.expect(usual, now) * factor
+
+    is_open = [replica for replica in replicas if replica.is_open(now)]
+    return min(is_open, key=cost, default=None)
--- /dev/null
+++ b/src/rattanspoke/decisions/_routes.py
@@ -0,0 +1,55 @@
+"""Which route a request takes, and which service of a split."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ..model import DesiredState, Route, RouteId, ServiceId, WeightedService
+
+
+class RouteTable:
+    """The routes of one desired state by host name, the longest prefix first."""
+
+    __slots__ = ('_by_authority', 'version')
+
+    def __init__(self, state: DesiredState) -> None:
+        self.version = state.version
+        by_authority: dict[str, list[Route]] = defaultdict(list)
+        for route in state.routes:
+            by_authority[route.authority].append(route)
+        for routes in by_authority.values():
+            routes.sort(key=_measure_prefix, reverse=True)
+        self._by_authority = dict(by_authority)
+
+    def find(self, authority: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        for route in self._by_authority.get(authority, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def _measure_prefix(route: Route) -> int:
+    return len(route.prefix)
+
+
+@dataclass(slots=True)
+class WeightSpread:
+    """Spread requests over the services of a split in exact proportion.
+
+    Smooth weighted round robin: after any number of requests each service is within
+    one request of its share, on every host by itself.
+    """
+
+    _credit: dict[tuple[RouteId, ServiceId], float] = field(default_factory=dict)
+
+    def choose(self, route: RouteId, choices: Sequence[WeightedService]) -> ServiceId:
+        """Return the service that is furthest behind its share."""
+        total = sum(choice.weight for choice in choices)
+        credit = self._credit
+        for choice in choices:
+            key = route, choice.service
+            credit[key] = credit.get(key, 0) + choice.weight
+        chosen = max(choices, key=lambda choice: credit[route, choice.service])
+        credit[route, chosen.service] -= total
+        return chosen.service
--- a/src/rattanspoke/decisions/_validation.py
+++ b/src/rattanspoke/decisions/_validation.py
@@ -1,8 +1,8 @@
 """Whether a record's values are possible; every host decides alike."""
 
 from ..model import (
-    CustomerRecord,
     IndexRecord,
+    OrganisationRecord,
     Record,
     RecordError,
     SeatsRecord,
@@ -21,8 +21,8 @@
     match record:
         case UpstreamRecord():
             _check_upstream(record)
-        case CustomerRecord():
-            _check_customer(record)
+        case OrganisationRecord():
+            _check_organisation(record)
         case IndexRecord():
             _check_index(record)
         case ZoneRecord() | ServiceRecord() | SeatsRecord():
@@ -43,7 +43,7 @@
     _require(bool(host) and port.isdigit(), 'address', 'must be host:port')
 
 
-def _check_customer(record: CustomerRecord) -> None:
+def _check_organisation(record: OrganisationRecord) -> None:
     digits = set(record.token_digest) <= set('0123456789abcdef')
     _require(
         digits and len(record.token_digest) == DIGEST_LENGTH,
--- a/src/rattanspoke/model/_answers.py
+++ b/src/rattanspoke/model/_answers.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from ._ids import (
-    CustomerId,
     IdempotencyKey,
     IndexVersion,
+    OrganisationId,
     RequestId,
     Seconds,
     ServiceId,
@@ -21,11 +21,11 @@
 
     Attributes:
         budget: seconds within which the caller wants the answer.
-        urgency: the caller's claim; it counts only within its customer's share.
+        urgency: the caller's claim; it counts only within its organisation's share.
     """
 
     request: RequestId
-    customer: CustomerId
+    organisation: OrganisationId
     service: ServiceId
     query: str
     limit: int
@@ -50,7 +50,7 @@
     """A caller's non-idempotent request."""
 
     request: RequestId
-    customer: CustomerId
+    organisation: OrganisationId
     service: ServiceId
     key: IdempotencyKey
     content: str
--- a/src/rattanspoke/model/_errors.py
+++ b/src/rattanspoke/model/_errors.py
@@ -49,6 +49,10 @@
     """Raised when a conditional write met another revision."""
 
 
+class PlatformHistoryGone(PlatformError):
+    """Raised when the platform no longer keeps the changes that a watch asks for."""
+
+
 class PlatformObjectMissing(PlatformError):
     """Raised when an object does not exist."""
 
--- a/src/rattanspoke/model/_events.py
+++ b/src/rattanspoke/model/_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ._ids import CustomerId, HostId, Incarnation, RequestId, UpstreamId, ZoneId
+from ._ids import HostId, Incarnation, OrganisationId, RequestId, UpstreamId, ZoneId
 from ._states import EventKind
 
 
@@ -24,4 +24,4 @@
     request: RequestId | None = None
     upstream: UpstreamId | None = None
     zone: ZoneId | None = None
-    customer: CustomerId | None = None
+    organisation: OrganisationId | None = None
--- a/src/rattanspoke/model/_ids.py
+++ b/src/rattanspoke/model/_ids.py
@@ -9,7 +9,7 @@
 ServiceId = NewType('ServiceId', str)
 UpstreamId = NewType('UpstreamId', str)
 ShardId = NewType('ShardId', str)
-CustomerId = NewType('CustomerId', str)
+OrganisationId = NewType('OrganisationId', str)
 RequestId = NewType('RequestId', str)
 DocumentId = NewType('DocumentId', str)
 CallId = NewType('CallId', int)
@@ -18,6 +18,8 @@
 IndexVersion = NewType('IndexVersion', int)
 Revision = NewType('Revision', int)  # rises with every write to the platform
 Seconds = NewType('Seconds', float)
+RouteId = NewType('RouteId', str)
+Seal = NewType('Seal', str)  # an upstream's proof of one answer
 
 NO_REVISION = Revision(0)
 
--- a/src/rattanspoke/model/_messages.py
+++ b/src/rattanspoke/model/_messages.py
@@ -4,13 +4,13 @@
 from typing import TypeAlias
 
 from ._ids import (
-    CustomerId,
     DocumentId,
     Fingerprint,
     HostId,
     IdempotencyKey,
     Incarnation,
     IndexVersion,
+    OrganisationId,
     RequestId,
     Revision,
     Seconds,
@@ -38,7 +38,7 @@
 
     Attributes:
         budget: seconds that remain when the message is sent.
-        urgency: a caller's claim; it orders work only within one customer.
+        urgency: a caller's claim; it orders work only within one organisation.
     """
 
     request: RequestId
@@ -49,7 +49,7 @@
     shards: tuple[ShardId, ...]
     query: str
     limit: int
-    customer: CustomerId
+    organisation: OrganisationId
     fingerprint: Fingerprint
     budget: Seconds
     urgency: int = 0
@@ -84,7 +84,7 @@
     attempt: int
     upstream: UpstreamId
     service: ServiceId
-    customer: CustomerId
+    organisation: OrganisationId
     fingerprint: Fingerprint
     content: str
     budget: Seconds
@@ -199,7 +199,7 @@
 class ClaimAsk:
     """Ask a keeper to take a claim for an attempt."""
 
-    customer: CustomerId
+    organisation: OrganisationId
     key: IdempotencyKey
     token: str
     fingerprint: Fingerprint
@@ -210,7 +210,7 @@
 class ClaimSettle:
     """Ask a keeper to write down how a claimed attempt ended."""
 
-    customer: CustomerId
+    organisation: OrganisationId
     key: IdempotencyKey
     entry: ClaimEntry
 
--- a/src/rattanspoke/model/_policy.py
+++ b/src/rattanspoke/model/_policy.py
@@ -1,4 +1,4 @@
-"""What a customer weighs: tail latency or coverage, as data classes to match on."""
+"""What an organisation weighs, tail latency or coverage, as data classes."""
 
 from dataclasses import dataclass
 from typing import TypeAlias
--- a/src/rattanspoke/model/_records.py
+++ b/src/rattanspoke/model/_records.py
@@ -4,9 +4,9 @@
 from typing import TypeAlias
 
 from ._ids import (
-    CustomerId,
     HolderId,
     IndexVersion,
+    OrganisationId,
     Revision,
     Seconds,
     ServiceId,
@@ -59,8 +59,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class CustomerRecord:
-    """A customer: how it proves who it is, what it may use and what it weighs.
+class OrganisationRecord:
+    """A organisation: how it proves who it is, what it may use and what it weighs.
 
     Attributes:
         token_digest: SHA-256 of its bearer token in hexadecimal.
@@ -70,7 +70,7 @@
         services: services it may use; empty means all.
     """
 
-    customer: CustomerId
+    organisation: OrganisationId
     token_digest: str
     priority: int = 1
     queries_per_second: float = 50
@@ -107,7 +107,7 @@
     ZoneRecord
     | ServiceRecord
     | UpstreamRecord
-    | CustomerRecord
+    | OrganisationRecord
     | IndexRecord
     | SeatsRecord
 )
--- a/src/rattanspoke/model/_states.py
+++ b/src/rattanspoke/model/_states.py
@@ -46,6 +46,12 @@
     PLATFORM_DOWN = 'platform unavailable'
     KEY_IN_USE = 'idempotency key in use'
     TOO_LARGE = 'too large'
+    HEADERS_TOO_LARGE = 'headers too large'
+    UNKNOWN_ROUTE = 'unknown route'
+    NO_DESIRED_STATE = 'no desired state is known'
+    REPLY_BROKEN = 'reply broken off or unreadable'
+    RETRY_BUDGET = 'retry budget spent'
+    LOW_COVERAGE = 'too few shards answered'
 
 
 @unique
@@ -55,7 +61,7 @@
     ZONE = 'zone'
     SERVICE = 'service'
     UPSTREAM = 'upstream'
-    CUSTOMER = 'customer'
+    ORGANISATION = 'organisation'
     INDEX = 'index'
     SEATS = 'seats'
 
--- /dev/null
+++ b/src/rattanspoke/platform/__init__.py
@@ -0,0 +1,19 @@
+"""The users' platform: names, formats and calls, translated into the model's types."""
+
+from ._codec import StateForms
+from ._front import Application, make_caller_app, make_probe_app
+from ._settings import SETTINGS_VARIABLE, HostSettings, load_host_settings
+from ._store import HttpStore
+from ._upstreams import HttpConnections
+
+__all__ = (
+    'SETTINGS_VARIABLE',
+    'Application',
+    'HostSettings',
+    'HttpConnections',
+    'HttpStore',
+    'StateForms',
+    'load_host_settings',
+    'make_caller_app',
+    'make_probe_app',
+)
--- /dev/null
+++ b/src/rattanspoke/platform/_codec.py
@@ -0,0 +1,234 @@
+"""The store's objects, decoded once into the model's types."""
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from ..contracts import ObjectList
+from ..model import (
+    CallerLimits,
+    DesiredState,
+    Destination,
+    Evacuation,
+    HostEntry,
+    HostId,
+    OneService,
+    RecordError,
+    Registration,
+    RegistrationState,
+    Repeatability,
+    Route,
+    RouteId,
+    Seconds,
+    ServiceId,
+    ServiceTraits,
+    ShardSet,
+    StateContent,
+    StateKind,
+    StoredObject,
+    UpstreamId,
+    WeightedService,
+    WeightedServices,
+    ZoneId,
+)
+from ._words import MILLISECONDS
+
+DESIRED_STATE_NAME = 'main'
+REPEATABILITIES = {
+    'idempotent': Repeatability.IDEMPOTENT,
+    'non_idempotent': Repeatability.NON_IDEMPOTENT,
+}
+STATES = {
+    'ready': RegistrationState.READY,
+    'draining': RegistrationState.DRAINING,
+}
+
+Form = TypeVar('Form')
+
+
+class _Camel(msgspec.Struct, rename='camel'):
+    """A form whose fields are spelled in camel case on the wire."""
+
+
+class _WeightForm(_Camel):
+    service: str
+    weight: float
+
+
+class _RouteForm(_Camel):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    service: str = ''
+    traffic_split: list[_WeightForm] = []
+    fanout_services: list[str] = []
+    top_k: int = 0
+    minimum: float = 0
+    allowed_regions: list[str] = []
+
+
+class _ServiceForm(_Camel):
+    name: str
+    max_connections: int
+    warmup_s: float = 0
+    warmup_per_s: float = 0
+
+
+class _LimitsForm(_Camel):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _DesiredStateForm(_Camel):
+    version: int
+    routes: list[_RouteForm]
+    services: list[_ServiceForm]
+    limits: _LimitsForm
+
+
+class _RegistrationForm(_Camel):
+    """An upstream's entry.
+
+    `born` is the start of this incarnation; an entry without it has only its name.
+    `version` is that of the upstream's software and decides nothing here.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    warmup_left_ms: float = 0
+    born: int = 0
+
+
+class _HostForm(_Camel):
+    peer_address: str
+    zone: str
+
+
+class StateForms:
+    """Decode the objects that every host follows."""
+
+    def decode_state(self, kind: StateKind, stored: StoredObject) -> StateContent:
+        """Return what an object says.
+
+        Raises:
+            RecordError: when it cannot be read; the message names the field.
+        """
+        content = stored.content or b''
+        match kind:
+            case StateKind.DESIRED_STATE:
+                return _read_desired_state(stored, _decode(content, _DesiredStateForm))
+            case StateKind.REGISTRATIONS:
+                form = _decode(content, _RegistrationForm)
+                return _read_registration(UpstreamId(stored.name), form)
+            case StateKind.EVACUATIONS:
+                return Evacuation(ZoneId(stored.name))
+
+    def decode_host(self, stored: StoredObject) -> HostEntry:
+        """Return a host's entry; raises RecordError."""
+        form = _decode(stored.content or b'', _HostForm)
+        host = HostId(form.peer_address)
+        return HostEntry(name=stored.name, host=host, zone=ZoneId(form.zone))
+
+    def encode_host(self, entry: HostEntry) -> bytes:
+        """Return the content that decodes to a host's entry."""
+        return msgspec.json.encode(_HostForm(entry.host, entry.zone))
+
+
+def keep_desired_state(listing: ObjectList) -> ObjectList:
+    """Leave out what lies beside the newest desired state in its kind."""
+    kept = [each for each in listing.objects if each.name == DESIRED_STATE_NAME]
+    return ObjectList(listing.revision, tuple(kept))
+
+
+def _read_desired_state(stored: StoredObject, form: _DesiredStateForm) -> DesiredState:
+    services = [
+        ServiceTraits(
+            service=ServiceId(each.name),
+            connection_limit=each.max_connections,
+            cold_time=Seconds(each.warmup_s),
+            cold_rate=each.warmup_per_s,
+        )
+        for each in form.services
+    ]
+    limits = form.limits
+    return DesiredState(
+        version=form.version,
+        revision=stored.revision,
+        routes=tuple(_read_route(each) for each in form.routes),
+        services={each.service: each for each in services},
+        limits=CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_time=Seconds(limits.header_timeout_ms / MILLISECONDS),
+            idle_time=Seconds(limits.idle_timeout_ms / MILLISECONDS),
+        ),
+    )
+
+
+def _read_route(form: _RouteForm) -> Route:
+    if form.route_type not in REPEATABILITIES:
+        raise RecordError(f'routeType: {form.route_type!r} of route {form.name!r}')
+    time_limit = Seconds(form.timeout_ms / MILLISECONDS)
+    return Route(
+        route=RouteId(form.name),
+        authority=form.host.lower(),
+        prefix=form.path_prefix,
+        destination=_read_destination(form),
+        repeatability=REPEATABILITIES[form.route_type],
+        time_limit=time_limit,
+        objective=Seconds(form.target_latency_ms / MILLISECONDS) or time_limit,
+        attempt_limit=max(1, form.max_attempts),
+        priority=form.priority,
+        regions=frozenset(form.allowed_regions),
+    )
+
+
+def _read_destination(form: _RouteForm) -> Destination:
+    if form.fanout_services:
+        shards = tuple(ServiceId(each) for each in form.fanout_services)
+        return ShardSet(shards, form.top_k, form.minimum)
+    if form.traffic_split:
+        return WeightedServices(
+            tuple(
+                WeightedService(ServiceId(each.service), each.weight)
+                for each in form.traffic_split
+            )
+        )
+    if not form.service:
+        raise RecordError(f'service: route {form.name!r} names none')
+    return OneService(ServiceId(form.service))
+
+
+def _read_registration(upstream: UpstreamId, form: _RegistrationForm) -> Registration:
+    if form.state not in STATES:
+        raise RecordError(f'state: {form.state!r} is not a state')
+    host, _, port = form.address.rpartition(':')
+    if not host or not port.isdigit():
+        raise RecordError(f'address: {form.address!r} is not host:port')
+    return Registration(
+        upstream=upstream,
+        started=form.born,
+        service=ServiceId(form.service),
+        address=form.address,
+        zone=ZoneId(form.zone),
+        slots=max(1, form.slots),
+        state=STATES[form.state],
+        cold_left=Seconds(form.warmup_left_ms / MILLISECONDS),
+    )
+
+
+def _decode(content: bytes, form: type[Form]) -> Any:
+    try:
+        return msgspec.json.decode(content, type=form)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordError(f'content: {error}') from error
--- /dev/null
+++ b/src/rattanspoke/platform/_front.py
@@ -0,0 +1,220 @@
+"""The front towards callers and the balancer: ASGI applications for uvicorn."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any, TypeAlias
+
+from ..contracts import COUNTERS, ENTRY, LIFECYCLE, SHARED_STATE, Metric
+from ..kernel import Kernel
+from ..model import (
+    CallerAnswer,
+    CallerLimits,
+    CallerRequest,
+    Failed,
+    Headers,
+    Merged,
+    Reason,
+    Refused,
+    Rejected,
+    Relayed,
+    RequestId,
+    Seconds,
+)
+from ._words import (
+    ATTEMPT_HEADER,
+    BUDGET_HEADER,
+    HOP_HEADERS,
+    MILLISECONDS,
+    MISSING_PARTS_HEADER,
+    PART_SEALS_HEADER,
+    READINESS_PATH,
+)
+
+Message: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Message]]
+Send: TypeAlias = Callable[[Message], Awaitable[None]]
+Application: TypeAlias = Callable[[Message, Receive, Send], Awaitable[None]]
+
+LONGEST_BUDGET = Seconds(60)  # for a caller that names none
+REJECTION_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
+}
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+LONG_HEADERS = Reason.HEADERS_TOO_LARGE
+
+
+class _CallerLeft(Exception):
+    """Raised when a caller closes its connection before its request is read."""
+
+
+def make_caller_app(kernel: Kernel) -> Application:
+    """Return the application that serves callers."""
+
+    async def serve(scope: Message, receive: Receive, send: Send) -> None:
+        if scope['type'] != 'http':
+            return
+        try:
+            request = await _read_request(kernel, scope, receive)
+        except _CallerLeft:
+            kernel.find(COUNTERS).add(Metric.CALLERS_LEFT, 'reading')
+            return
+        if isinstance(request, Rejected):
+            await _write(kernel, send, request)
+            return
+        answer = await _serve_while_connected(kernel, request, receive)
+        if answer is not None:
+            await _write(kernel, send, answer)
+
+    return serve
+
+
+def make_probe_app(kernel: Kernel, render: Callable[[Kernel], str]) -> Application:
+    """Return the application that answers the balancer and serves metrics.
+
+    Args:
+        kernel: of the host that is probed.
+        render: returns the host's metrics as text.
+    """
+
+    async def serve(scope: Message, receive: Receive, send: Send) -> None:
+        if scope['type'] != 'http':
+            return
+        if scope['path'] == '/metrics':
+            await _send(send, 200, [], render(kernel).encode())
+        elif scope['path'] == READINESS_PATH:
+            await _send(send, 200 if _is_ready(kernel) else UNAVAILABLE, [], b'')
+        else:
+            await _send(send, 404, [], b'')
+
+    return serve
+
+
+def _is_ready(kernel: Kernel) -> bool:
+    if kernel.find(LIFECYCLE).is_leaving:
+        return False
+    return kernel.find(SHARED_STATE).is_complete
+
+
+async def _read_request(
+    kernel: Kernel, scope: Message, receive: Receive
+) -> CallerRequest | Rejected:
+    arrived = Seconds(asyncio.get_running_loop().time())
+    desired = kernel.find(SHARED_STATE).desired
+    limits = desired.limits if desired else None
+    headers: Headers = tuple(scope['headers'])
+    values = dict(headers)
+    if limits is not None and _measure(headers) > limits.header_bytes:
+        return Rejected(LONG_HEADERS)
+    budget = _read_budget(values.get(BUDGET_HEADER))
+    authority = values.get(b'host', b'').decode('latin-1').lower()
+    if budget is None or not authority:
+        return Rejected(Reason.BAD_REQUEST)
+    body = await _read_body(receive, limits, values.get(b'content-length'))
+    if body is None:
+        return Rejected(Reason.TOO_LARGE)
+    query = scope['query_string']
+    target = b'?'.join((scope['raw_path'], query) if query else (scope['raw_path'],))
+    return CallerRequest(
+        attempt=RequestId(values.get(ATTEMPT_HEADER, b'').decode('latin-1')),
+        method=scope['method'],
+        target=target.decode('latin-1'),
+        authority=authority.partition(':')[0],
+        headers=headers,
+        body=body,
+        deadline=Seconds(arrived + budget),
+        arrived=arrived,
+    )
+
+
+def _measure(headers: Headers) -> int:
+    separators = len(b': \r\n')
+    return sum(len(name) + len(value) + separators for name, value in headers)
+
+
+def _read_budget(value: bytes | None) -> Seconds | None:
+    """Return the seconds that a caller waits, None when the header is no number."""
+    if value is None:
+        return LONGEST_BUDGET
+    try:
+        return Seconds(float(value) / MILLISECONDS)
+    except ValueError:
+        return None
+
+
+async def _read_body(
+    receive: Receive, limits: CallerLimits | None, length: bytes | None
+) -> bytes | None:
+    """Return the whole body, None when it is over the limit."""
+    limit = limits.body_bytes if limits else sys.maxsize
+    if length is not None and int(length) > limit:
+        return None
+    body = b''
+    while len(body) <= limit:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise _CallerLeft
+        body += message.get('body', b'')
+        if not message.get('more_body', False):
+            break
+    return body if len(body) <= limit else None
+
+
+async def _serve_while_connected(
+    kernel: Kernel, request: CallerRequest, receive: Receive
+) -> CallerAnswer | None:
+    """Return the answer; None when the caller left, whose work is then cancelled."""
+    serving = asyncio.ensure_future(kernel.find(ENTRY).serve(request))
+    leaving: asyncio.Future[Message] = asyncio.ensure_future(receive())
+    try:
+        await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        leaving.cancel()
+        if not serving.done():
+            serving.cancel()
+    if serving.done():
+        return serving.result()
+    kernel.find(COUNTERS).add(Metric.CALLERS_LEFT, 'waiting')
+    return None
+
+
+async def _write(kernel: Kernel, send: Send, answer: CallerAnswer) -> None:
+    headers: list[tuple[bytes, bytes]] = []
+    if kernel.find(LIFECYCLE).is_leaving:
+        headers.append((b'connection', b'close'))
+    match answer:
+        case Relayed(reply):
+            kept = [each for each in reply.headers if each[0] not in HOP_HEADERS]
+            await _send(send, reply.status, headers + kept, reply.body)
+        case Merged(seals, missing, body):
+            headers.append((PART_SEALS_HEADER, ', '.join(seals).encode('latin-1')))
+            headers.append((MISSING_PARTS_HEADER, b'%d' % missing))
+            await _send(send, 200, headers, body)
+        case Refused(reason, retry_after):
+            headers.append((b'retry-after', f'{retry_after:.3f}'.encode()))
+            await _send(send, UNAVAILABLE, headers, reason.value.encode())
+        case Failed(reason):
+            is_late = reason is Reason.DEADLINE
+            status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
+            await _send(send, status, headers, reason.value.encode())
+        case Rejected(reason):
+            status = REJECTION_STATUS[reason]
+            await _send(send, status, headers, reason.value.encode())
+
+
+async def _send(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    length = (b'content-length', b'%d' % len(body))
+    start = {
+        'type': 'http.response.start',
+        'status': status,
+        'headers': [*headers, length],
+    }
+    await send(start)
+    await send({'type': 'http.response.body', 'body': body})
--- /dev/null
+++ b/src/rattanspoke/platform/_settings.py
@@ -0,0 +1,138 @@
+"""The platform's settings file: lines of `name=value`, lists joined by commas."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..model import HostId, Seconds, SettingsError, ZoneId
+
+SETTINGS_VARIABLE = 'RATTANSPOKE_CONFIG'
+MILLISECONDS = 1000  # in a second
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostSettings:
+    """What the platform tells a host at its start.
+
+    Attributes:
+        name: the machine's name, unique among the hosts.
+        regions: the region of every availability zone.
+        callers: the address for callers, as host:port.
+        probes: the address for the balancer's readiness probes, as host:port.
+        peer_ports: the first and the last port that are free for peers.
+        store: the address of the platform's store, as host:port.
+        drain_time: seconds within which an upstream that leaves gets nothing more.
+        grace: seconds between SIGTERM and SIGKILL.
+        retry_ratio: extra sends to a service for each of its requests, over all hosts.
+        retry_slack: extra sends to a service in each window beside the ratio.
+        cold_factor: what a cold upstream bears, as a multiple of its rate.
+        cold_slack: requests in a second beside that.
+        heartbeat: seconds between an upstream's reports to the store.
+    """
+
+    name: str
+    zone: ZoneId
+    regions: dict[ZoneId, str]
+    address: str
+    callers: str
+    probes: str
+    peer_ports: tuple[int, int]
+    store: str
+    drain_time: Seconds
+    grace: Seconds
+    retry_ratio: float
+    retry_slack: float
+    cold_factor: float
+    cold_slack: float
+    heartbeat: Seconds
+
+    @property
+    def host(self) -> HostId:
+        """The address on which peers reach this host."""
+        return HostId(f'{self.address}:{self.peer_ports[0]}')
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Return the settings of a file.
+
+    Raises:
+        SettingsError: which names the file, the key and the reason.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    try:
+        return _read_settings(_Lines(text))
+    except SettingsError as error:
+        raise SettingsError(f'{path}: {error}') from error
+
+
+class _Lines:
+    """The values of a settings file by their names."""
+
+    def __init__(self, text: str) -> None:
+        self._values: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            name, separator, value = line.partition('=')
+            if not separator and line.strip():
+                raise SettingsError(f'line {number}: {line!r} is not name=value')
+            self._values[name.strip()] = value.strip()
+
+    def text(self, name: str) -> str:
+        """Return a value that must be there."""
+        value = self._values.get(name, '')
+        if not value:
+            raise SettingsError(f'{name}: is missing')
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Return a number, which must be there unless a default is given."""
+        if default is not None and not self._values.get(name):
+            return default
+        value = self.text(name)
+        try:
+            return float(value)
+        except ValueError as error:
+            raise SettingsError(f'{name}: {value!r} is not a number') from error
+
+    def milliseconds(self, name: str, default: float) -> Seconds:
+        """Return a time that the file gives in milliseconds."""
+        return Seconds(self.number(name, default) / MILLISECONDS)
+
+    def ports(self, name: str) -> tuple[int, int]:
+        """Return the first and the last of a range of ports."""
+        value = self.text(name)
+        first, _, last = value.partition(',')
+        if not first.isdigit() or not last.isdigit():
+            raise SettingsError(f'{name}: {value!r} is not FIRST,LAST')
+        return int(first), int(last)
+
+    def table(self, prefix: str) -> dict[str, str]:
+        """Return the values whose names begin with a prefix and a dot."""
+        start = f'{prefix}.'
+        return {
+            name.removeprefix(start): value
+            for name, value in self._values.items()
+            if name.startswith(start)
+        }
+
+
+def _read_settings(lines: _Lines) -> HostSettings:
+    regions = lines.table('zones')
+    return HostSettings(
+        name=lines.text('node'),
+        zone=ZoneId(lines.text('zone')),
+        regions={ZoneId(zone): region for zone, region in regions.items()},
+        address=lines.text('ip'),
+        callers=lines.text('listen.front'),
+        probes=lines.text('listen.ready'),
+        peer_ports=lines.ports('internalPortRange'),
+        store=lines.text('platform.address'),
+        drain_time=lines.milliseconds('bounds.drainMs', 3000),
+        grace=Seconds(lines.number('bounds.graceS', 6)),
+        retry_ratio=lines.number('bounds.retryBudgetRatio', 0.2),
+        retry_slack=lines.number('bounds.budgetExtraRetries', 0),
+        cold_factor=lines.number('bounds.warmupFactor', 1),
+        cold_slack=lines.number('bounds.warmupSlack', 0),
+        heartbeat=lines.milliseconds('heartbeatMs', 1200),
+    )
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -3,14 +3,21 @@
 from ._bookings import HostBookings, fingerprint_booking
 from ._catalog import HostCatalog
 from ._claims import ClaimKeeper
-from ._customers import HostCustomers
+from ._directory import UpstreamDirectory
+from ._entry import RequestEntry
+from ._fleet import HostFleet
+from ._follower import StoreFollower
 from ._lifecycle import HostLifecycle
+from ._lines import UpstreamChannels
 from ._loads import HostLoads
 from ._members import HostMembers
+from ._organisations import HostOrganisations
 from ._owner import UpstreamOwner
 from ._peers import PeerLinks
+from ._placements import HostPlacements
 from ._searches import HostSearches, fingerprint_search
 from ._seats import HostSeats
+from ._state import HostSharedState
 from ._suspects import HostSuspects
 from ._tasks import Tasks, read_clock
 from ._telemetry import HostCounters, HostTimeline
@@ -22,18 +29,25 @@
     'HostBookings',
     'HostCatalog',
     'HostCounters',
-    'HostCustomers',
+    'HostFleet',
     'HostLifecycle',
     'HostLoads',
     'HostMembers',
+    'HostOrganisations',
+    'HostPlacements',
     'HostSearches',
     'HostSeats',
+    'HostSharedState',
     'HostSuspects',
     'HostTimeline',
     'HostVerdicts',
     'HostWatch',
     'PeerLinks',
+    'RequestEntry',
+    'StoreFollower',
     'Tasks',
+    'UpstreamChannels',
+    'UpstreamDirectory',
     'UpstreamOwner',
     'fingerprint_booking',
     'fingerprint_search',
--- a/src/rattanspoke/services/_bookings.py
+++ b/src/rattanspoke/services/_bookings.py
@@ -130,7 +130,7 @@
             EventKind.CLAIM,
             f'booking {reply.outcome.value}: {reply.reason.value}',
             request=attempt.booking.request,
-            customer=attempt.booking.customer,
+            organisation=attempt.booking.organisation,
         )
         await self._settle(attempt, reply)
         if reply.outcome is not Outcome.RAN:
@@ -140,7 +140,7 @@
     async def _claim(self, attempt: _Attempt) -> ClaimReply:
         booking = attempt.booking
         ask = ClaimAsk(
-            booking.customer,
+            booking.organisation,
             booking.key,
             attempt.token,
             attempt.fingerprint,
@@ -247,7 +247,7 @@
             reference=reply.reference,
         )
         booking = attempt.booking
-        settle = ClaimSettle(booking.customer, booking.key, entry)
+        settle = ClaimSettle(booking.organisation, booking.key, entry)
         # The caller need not wait for the platform once the work has run.
         writing = self._tasks.spawn(self._write_settle(settle))
         if reply.outcome is Outcome.NOT_RUN:
@@ -269,7 +269,7 @@
             attempt=number,
             upstream=upstream,
             service=booking.service,
-            customer=booking.customer,
+            organisation=booking.organisation,
             fingerprint=attempt.fingerprint,
             content=booking.content,
             budget=budget,
--- a/src/rattanspoke/services/_catalog.py
+++ b/src/rattanspoke/services/_catalog.py
@@ -8,9 +8,9 @@
 from ..kernel import Kernel
 from ..model import (
     Change,
-    CustomerRecord,
     EventKind,
     IndexRecord,
+    OrganisationRecord,
     Reason,
     Record,
     RecordKind,
@@ -82,9 +82,9 @@
         """Return a zone's seats record."""
         return self._find(RecordKind.SEATS, zone, SeatsRecord)
 
-    def customers(self) -> list[CustomerRecord]:
-        """Return the records of all customers."""
-        return self._select(RecordKind.CUSTOMER, CustomerRecord)
+    def organisations(self) -> list[OrganisationRecord]:
+        """Return the records of all organisations."""
+        return self._select(RecordKind.ORGANISATION, OrganisationRecord)
 
     def explain_out(self, upstream: UpstreamRecord) -> Reason | None:
         """Return why operators let an upstream receive no work, None if they do.
--- a/src/rattanspoke/services/_claims.py
+++ b/src/rattanspoke/services/_claims.py
@@ -225,5 +225,6 @@
 
 def _number_bucket(change: ClaimAsk | ClaimSettle) -> int:
     return (
-        xxhash.xxh3_64_intdigest(f'{change.customer}/{change.key}'.encode()) % BUCKETS
+        xxhash.xxh3_64_intdigest(f'{change.organisation}/{change.key}'.encode())
+        % BUCKETS
     )
--- /dev/null
+++ b/src/rattanspoke/services/_directory.py
@@ -0,0 +1,74 @@
+"""Which upstreams may be sent work, from what they and the operators wrote."""
+
+from collections import defaultdict
+
+import structlog
+
+from ..contracts import STATE_CHANGED
+from ..kernel import Kernel
+from ..model import (
+    Evacuation,
+    Registration,
+    RegistrationState,
+    ServiceId,
+    StateChange,
+    StateKind,
+    UpstreamId,
+    ZoneId,
+)
+
+
+class UpstreamDirectory:
+    """Upstreams by service, without those that leave and those of evacuated zones."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._log = structlog.get_logger()
+        self._known: dict[UpstreamId, Registration] = {}
+        self._evacuated: set[ZoneId] = set()
+        self._by_service: dict[ServiceId, tuple[Registration, ...]] | None = None
+        kernel.bus.subscribe(STATE_CHANGED, self._note_change)
+
+    def replicas(self, service: ServiceId) -> tuple[Registration, ...]:
+        """Return the upstreams of a service that may be sent new work."""
+        if self._by_service is None:
+            self._by_service = self._sort_by_service()
+        return self._by_service.get(service, ())
+
+    def _sort_by_service(self) -> dict[ServiceId, tuple[Registration, ...]]:
+        found: dict[ServiceId, list[Registration]] = defaultdict(list)
+        for registration in self._known.values():
+            if self._takes_work(registration):
+                found[registration.service].append(registration)
+        return {service: tuple(each) for service, each in found.items()}
+
+    def _takes_work(self, registration: Registration) -> bool:
+        if registration.zone in self._evacuated:
+            return False
+        return registration.state is RegistrationState.READY
+
+    def _note_change(self, change: StateChange) -> None:
+        match change.kind:
+            case StateKind.REGISTRATIONS:
+                self._note_registration(UpstreamId(change.name), change)
+            case StateKind.EVACUATIONS:
+                self._note_evacuation(ZoneId(change.name), change)
+            case StateKind.DESIRED_STATE:
+                return
+        self._by_service = None
+
+    def _note_registration(self, upstream: UpstreamId, change: StateChange) -> None:
+        former = self._known.pop(upstream, None)
+        state = 'gone'
+        if isinstance(change.content, Registration):
+            self._known[upstream] = change.content
+            state = change.content.state.value
+        if former is None or state != former.state.value:
+            self._log.info('upstream', upstream=upstream, state=state)
+
+    def _note_evacuation(self, zone: ZoneId, change: StateChange) -> None:
+        is_out = isinstance(change.content, Evacuation)
+        if is_out:
+            self._evacuated.add(zone)
+        else:
+            self._evacuated.discard(zone)
+        self._log.info('zone evacuation', zone=zone, is_out=is_out)
--- /dev/null
+++ b/src/rattanspoke/services/_entry.py
@@ -0,0 +1,232 @@
+"""Requests of callers: find the route, send the parts, answer."""
+
+import asyncio
+from dataclasses import dataclass, replace
+
+import structlog
+
+from ..contracts import (
+    COUNTERS,
+    LIFECYCLE,
+    LINES,
+    PLACEMENTS,
+    SHARED_STATE,
+    Metric,
+)
+from ..decisions import (
+    AnswerWhenEnough,
+    RouteTable,
+    WaitForAll,
+    WeightSpread,
+    choose_patience,
+    count_needed,
+    merge_records,
+    plan_answer,
+)
+from ..kernel import Kernel
+from ..model import (
+    CallerAnswer,
+    CallerRequest,
+    DesiredState,
+    Failed,
+    Merged,
+    OneService,
+    Outcome,
+    Reason,
+    Refused,
+    Rejected,
+    Relayed,
+    Route,
+    Seconds,
+    ServiceId,
+    ShardSet,
+    WeightedServices,
+)
+from ._part import Part, PartResult
+from ._tasks import TaskOwner, read_clock
+
+LEAST_RETURN = Seconds(0.05)  # before a refused caller comes back
+STARTUP_RETURN = Seconds(0.5)  # while no desired state is known
+
+
+class RequestEntry(TaskOwner):
+    """Serve each request by the desired state that was newest when it arrived."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__()
+        self._state = kernel.find(SHARED_STATE)
+        self._lines = kernel.find(LINES)
+        self._placements = kernel.find(PLACEMENTS)
+        self._counters = kernel.find(COUNTERS)
+        self._lifecycle = kernel.find(LIFECYCLE)
+        self._log = structlog.get_logger()
+        self._table: RouteTable | None = None
+        self._spread = WeightSpread()
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """Return what the caller is told."""
+        desired = self._state.desired
+        if desired is None:
+            return Refused(Reason.NO_DESIRED_STATE, STARTUP_RETURN)
+        route = self._find_route(desired, request)
+        if route is None:
+            return Rejected(Reason.UNKNOWN_ROUTE)
+        limit = Seconds(request.arrived + route.time_limit)
+        request = replace(request, deadline=min(request.deadline, limit))
+        self._counters.add(Metric.REQUESTS, route.route)
+        self._lifecycle.begin()
+        try:
+            return await self._serve_route(request, route)
+        finally:
+            self._lifecycle.end()
+
+    def _find_route(
+        self, desired: DesiredState, request: CallerRequest
+    ) -> Route | None:
+        if self._table is None or self._table.version != desired.version:
+            self._table = RouteTable(desired)
+        return self._table.find(request.authority, request.path)
+
+    async def _serve_route(self, request: CallerRequest, route: Route) -> CallerAnswer:
+        match route.destination:
+            case OneService(service):
+                return await self._forward(request, route, service)
+            case WeightedServices(choices):
+                service = self._spread.choose(route.route, choices)
+                return await self._forward(request, route, service)
+            case ShardSet() as shards:
+                return await self._gather(request, route, shards)
+
+    async def _forward(
+        self, request: CallerRequest, route: Route, service: ServiceId
+    ) -> CallerAnswer:
+        part = self._tasks.spawn(self._make_part(request, route, service).run())
+        left = request.deadline - read_clock()
+        try:
+            await asyncio.wait({part}, timeout=left)
+        finally:
+            if not part.done():
+                part.cancel()
+        if part.cancelled() or not part.done():
+            return Failed(Reason.DEADLINE)
+        return self._answer_part(part.result())
+
+    def _answer_part(self, outcome: PartResult) -> CallerAnswer:
+        if outcome.reply is not None:
+            return Relayed(outcome.reply)
+        if outcome.outcome is Outcome.NOT_RUN:
+            return self._refuse(outcome.reason, [outcome.service])
+        return Failed(outcome.reason)
+
+    def _refuse(self, reason: Reason, services: list[ServiceId]) -> Refused:
+        returns = [self._placements.return_in(service) for service in services]
+        return Refused(reason, Seconds(max(LEAST_RETURN, *returns)))
+
+    async def _gather(
+        self, request: CallerRequest, route: Route, shards: ShardSet
+    ) -> CallerAnswer:
+        gathering = _Gathering(
+            shards, plan_answer(route, request.arrived, request.deadline)
+        )
+        parts = [self._make_part(request, route, each) for each in shards.shards]
+        running = {self._tasks.spawn(part.run()) for part in parts}
+        try:
+            await gathering.wait(running, request.deadline)
+        except asyncio.CancelledError:
+            for part in running:
+                part.cancel()
+            raise
+        self._counters.observe(
+            Metric.COVERAGE, len(gathering.covered) / len(shards.shards)
+        )
+        if gathering.is_enough:
+            for each in parts:
+                each.release()
+            return gathering.merge()
+        for part in running:
+            part.cancel()
+        return self._answer_shortfall(gathering)
+
+    def _answer_shortfall(self, gathering: '_Gathering') -> CallerAnswer:
+        if gathering.is_unrun:
+            services = [each.service for each in gathering.missed]
+            return self._refuse(Reason.LOW_COVERAGE, services)
+        return Failed(Reason.LOW_COVERAGE)
+
+    def _make_part(
+        self, request: CallerRequest, route: Route, service: ServiceId
+    ) -> Part:
+        return Part(
+            request=request,
+            route=route,
+            service=service,
+            lines=self._lines,
+            placements=self._placements,
+            counters=self._counters,
+            tasks=self._tasks,
+        )
+
+
+@dataclass(slots=True)
+class _Gathering:
+    """The parts of one search as they come in."""
+
+    shards: ShardSet
+    answer_at: Seconds
+    covered: list[PartResult]
+    missed: list[PartResult]
+
+    def __init__(self, shards: ShardSet, answer_at: Seconds) -> None:
+        self.shards = shards
+        self.answer_at = answer_at
+        self.covered = []
+        self.missed = []
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether an answer would be a success."""
+        return len(self.covered) >= count_needed(self.shards)
+
+    @property
+    def is_unrun(self) -> bool:
+        """Whether no upstream of any shard has run the search, or still may."""
+        if self.covered or len(self.missed) < len(self.shards.shards):
+            return False
+        return all(each.outcome is Outcome.NOT_RUN for each in self.missed)
+
+    async def wait(
+        self, running: set['asyncio.Task[PartResult]'], deadline: Seconds
+    ) -> None:
+        """Wait for parts as long as it helps the caller."""
+        outstanding = set(running)
+        while outstanding and self._can_succeed(len(outstanding)):
+            now = Seconds(read_clock())
+            match choose_patience(self.answer_at, deadline, now):
+                case WaitForAll(until):
+                    left = until - now
+                case AnswerWhenEnough(until):
+                    left = until - now
+                    if self.is_enough or left <= 0:
+                        return
+            ended, outstanding = await asyncio.wait(
+                outstanding, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            for part in ended:
+                self._take(part.result())
+
+    def merge(self) -> Merged:
+        """Return the answer over the parts that are in."""
+        replies = [each.reply for each in self.covered if each.reply is not None]
+        return Merged(
+            seals=tuple(reply.seal for reply in replies if reply.seal is not None),
+            missing=len(self.shards.shards) - len(replies),
+            body=merge_records(
+                (reply.body for reply in replies), self.shards.record_limit
+            ),
+        )
+
+    def _can_succeed(self, outstanding: int) -> bool:
+        return len(self.covered) + outstanding >= count_needed(self.shards)
+
+    def _take(self, outcome: PartResult) -> None:
+        (self.covered if outcome.is_success else self.missed).append(outcome)
--- a/src/rattanspoke/services/_fanout.py
+++ b/src/rattanspoke/services/_fanout.py
@@ -244,7 +244,7 @@
             shards=part.shards,
             query=self._search.query,
             limit=self._search.limit,
-            customer=self._search.customer,
+            organisation=self._search.organisation,
             fingerprint=self._fingerprint,
             budget=Seconds(self._gathering.deadline - now),
             urgency=self._search.urgency,
--- /dev/null
+++ b/src/rattanspoke/services/_follower.py
@@ -0,0 +1,78 @@
+"""Following the platform's store: one task for each kind of shared state."""
+
+import asyncio
+import random
+from typing import Self
+
+import structlog
+
+from ..contracts import COUNTERS, OBJECT_STORE, SHARED_STATE, Metric
+from ..kernel import Kernel
+from ..model import (
+    NO_REVISION,
+    PlatformError,
+    PlatformHistoryGone,
+    Seconds,
+    StateKind,
+)
+from ._tasks import TaskOwner, read_clock
+
+# A watch may fall silent unseen, so that its end is what proves the connection. With a
+# call's own limit this stays within the 3 s in which changes are to be in force.
+WATCH_WAIT = Seconds(1.2)
+FIRST_BACKOFF = Seconds(0.1)
+LONGEST_BACKOFF = Seconds(0.8)  # a return of the store is seen within a second
+
+
+class StoreFollower(TaskOwner):
+    """Keep the shared state up to date from the store."""
+
+    def __init__(self, kernel: Kernel, seed: int) -> None:
+        super().__init__()
+        self._store = kernel.find(OBJECT_STORE)
+        self._state = kernel.find(SHARED_STATE)
+        self._counters = kernel.find(COUNTERS)
+        self._random = random.Random(seed)
+        self._log = structlog.get_logger()
+        self._failing: set[StateKind] = set()
+
+    async def __aenter__(self) -> Self:
+        for kind in StateKind:
+            self._tasks.spawn(self._follow(kind))
+        return self
+
+    async def _follow(self, kind: StateKind) -> None:
+        backoff = FIRST_BACKOFF
+        while True:
+            try:
+                await self._read_once(kind)
+            except PlatformError as error:
+                self._note_failure(kind, error)
+                await asyncio.sleep(backoff * self._random.uniform(0.5, 1))
+                backoff = Seconds(min(LONGEST_BACKOFF, backoff * 2))
+            else:
+                self._note_success(kind)
+                backoff = FIRST_BACKOFF
+
+    async def _read_once(self, kind: StateKind) -> None:
+        known = self._state.revision(kind)
+        if known == NO_REVISION:
+            self._state.adopt_list(kind, await self._store.list_kind(kind.value))
+            return
+        try:
+            changes = await self._store.watch_kind(kind.value, known, WATCH_WAIT)
+        except PlatformHistoryGone:
+            self._state.adopt_list(kind, await self._store.list_kind(kind.value))
+            return
+        self._state.adopt_changes(kind, known, changes)
+
+    def _note_failure(self, kind: StateKind, error: PlatformError) -> None:
+        self._counters.add(Metric.PLATFORM_FAILURES, kind.value)
+        if kind not in self._failing:
+            self._failing.add(kind)
+            self._log.warning('store lost', kind=kind.value, reason=str(error))
+
+    def _note_success(self, kind: StateKind) -> None:
+        if kind in self._failing:
+            self._failing.discard(kind)
+            self._log.info('store regained', kind=kind.value, at=read_clock())
--- a/src/rattanspoke/services/_gate.py
+++ b/src/rattanspoke/services/_gate.py
@@ -201,7 +201,7 @@
                 f'attempt {work.job.attempt} on seat {seat}',
                 request=work.job.request,
                 upstream=self._upstream,
-                customer=work.job.customer,
+                organisation=work.job.organisation,
             )
         try:
             await self._call(connection, call, batch)
@@ -296,7 +296,7 @@
             self._tasks.spawn(connection.cancel())
 
     def _is_too_late(self, ticket: Ticket[Work]) -> bool:
-        ahead = self._queue.count_ahead(ticket.customer, ticket.priority)
+        ahead = self._queue.count_ahead(ticket.organisation, ticket.priority)
         wait = self.condition.estimate_wait(ahead, len(self._running))
         left = ticket.deadline - read_clock()
         is_late = wait + self.condition.took > left or wait > MAX_WAIT_SHARE * left
--- a/src/rattanspoke/services/_lifecycle.py
+++ b/src/rattanspoke/services/_lifecycle.py
@@ -51,10 +51,10 @@
         """Tell everyone who asks that the host is stopping."""
         self._leaving = True
 
-    async def drain(self) -> bool:
+    async def drain(self, limit: Seconds = DRAIN_LIMIT) -> bool:
         """Wait until all work has ended; tell whether it did within the limit."""
         try:
-            async with asyncio.timeout(DRAIN_LIMIT):
+            async with asyncio.timeout(limit):
                 await self._idle.wait()
         except TimeoutError:
             return False
--- a/src/rattanspoke/services/_customers.py
+++ b/src/rattanspoke/services/_organisations.py
@@ -8,9 +8,9 @@
 from ..model import (
     Baseline,
     Change,
-    CustomerId,
-    CustomerRecord,
     HostState,
+    OrganisationId,
+    OrganisationRecord,
     Outcome,
     Policy,
     Reason,
@@ -22,11 +22,11 @@
 from ._tasks import read_clock
 
 LOWEST_PRIORITY = 100
-MIN_BURST = 1.0  # requests that a customer may always make at once on a host
+MIN_BURST = 1.0  # requests that an organisation may always make at once on a host
 
 
-class HostCustomers:
-    """Authenticate by token and hold each customer to its share of the quota.
+class HostOrganisations:
+    """Authenticate by token and hold each organisation to its share of the quota.
 
     The quota is for the whole tier. Each host grants the part that falls to it when
     the balancer spreads requests evenly over the live hosts.
@@ -35,60 +35,60 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._catalog = kernel.find(CATALOG)
-        self._by_digest: dict[str, CustomerRecord] = {}
-        self._by_id: dict[CustomerId, CustomerRecord] = {}
-        self._buckets: dict[CustomerId, TokenBucket] = {}
+        self._by_digest: dict[str, OrganisationRecord] = {}
+        self._by_id: dict[OrganisationId, OrganisationRecord] = {}
+        self._buckets: dict[OrganisationId, TokenBucket] = {}
         kernel.bus.subscribe(RECORD_CHANGED, self._note_change)
 
-    def authenticate(self, token: str) -> CustomerRecord:
-        """Return the customer whose token it is.
+    def authenticate(self, token: str) -> OrganisationRecord:
+        """Return the organisation whose token it is.
 
         Raises:
             RequestError: when nobody has the token; nothing was run.
         """
         digest = hashlib.sha256(token.encode()).hexdigest()
-        customer = self._by_digest.get(digest)
-        if customer is None:
+        organisation = self._by_digest.get(digest)
+        if organisation is None:
             raise RequestError(Reason.UNAUTHENTICATED, Outcome.NOT_RUN)
-        return customer
+        return organisation
 
-    def find_priority(self, customer: CustomerId) -> int:
-        """Return a customer's class of work, that of the lowest for an unknown one."""
-        record = self._by_id.get(customer)
+    def find_priority(self, organisation: OrganisationId) -> int:
+        """Return an organisation's class of work, the lowest for an unknown one."""
+        record = self._by_id.get(organisation)
         return record.priority if record else LOWEST_PRIORITY
 
-    def find_policy(self, customer: CustomerId) -> Policy:
-        """Return what a customer weighs."""
-        record = self._by_id.get(customer)
+    def find_policy(self, organisation: OrganisationId) -> Policy:
+        """Return what an organisation weighs."""
+        record = self._by_id.get(organisation)
         return record.policy if record else Baseline()
 
-    def admit(self, customer: CustomerRecord, service: ServiceId) -> None:
+    def admit(self, organisation: OrganisationRecord, service: ServiceId) -> None:
         """Count a request against the quota.
 
         Raises:
-            RequestError: when the service is not the customer's or it asks too much.
+            RequestError: when the service is not its own or it asks too much.
         """
-        if customer.services and service not in customer.services:
+        if organisation.services and service not in organisation.services:
             raise RequestError(Reason.FORBIDDEN, Outcome.NOT_RUN)
         if self._catalog.service(service) is None:
             raise RequestError(Reason.UNKNOWN_SERVICE, Outcome.NOT_RUN)
-        if not self._find_bucket(customer).take(Seconds(read_clock())):
+        if not self._find_bucket(organisation).take(Seconds(read_clock())):
             raise RequestError(Reason.OVER_QUOTA, Outcome.NOT_RUN)
 
-    def _find_bucket(self, customer: CustomerRecord) -> TokenBucket:
+    def _find_bucket(self, organisation: OrganisationRecord) -> TokenBucket:
         hosts = len(self._kernel.find(MEMBERS).select(HostState.LIVE))
-        rate = customer.queries_per_second / max(1, hosts)
-        capacity = max(MIN_BURST, rate * customer.burst)
-        bucket = self._buckets.get(customer.customer)
+        rate = organisation.queries_per_second / max(1, hosts)
+        capacity = max(MIN_BURST, rate * organisation.burst)
+        bucket = self._buckets.get(organisation.organisation)
         if bucket is None:
             bucket = TokenBucket(rate, capacity, capacity, Seconds(read_clock()))
-            self._buckets[customer.customer] = bucket
+            self._buckets[organisation.organisation] = bucket
         bucket.rate = rate
         bucket.capacity = capacity
         return bucket
 
     def _note_change(self, change: Change) -> None:
-        if change.kind is RecordKind.CUSTOMER:
-            records = self._catalog.customers()
-            self._by_id = {record.customer: record for record in records}
+        if change.kind is RecordKind.ORGANISATION:
+            records = self._catalog.organisations()
+            self._by_id = {record.organisation: record for record in records}
             self._by_digest = {record.token_digest: record for record in records}
--- a/src/rattanspoke/services/_owner.py
+++ b/src/rattanspoke/services/_owner.py
@@ -6,10 +6,10 @@
 
 from ..contracts import (
     CATALOG,
-    CUSTOMERS,
     IDENTITY,
     LIFECYCLE,
     MEMBERS,
+    ORGANISATIONS,
     PEERS,
     RECORD_CHANGED,
     SEATS,
@@ -62,7 +62,7 @@
         self._peers = kernel.find(PEERS)
         self._lifecycle = kernel.find(LIFECYCLE)
         self._suspects = kernel.find(SUSPECTS)
-        self._customers = kernel.find(CUSTOMERS)
+        self._organisations = kernel.find(ORGANISATIONS)
         self._gates: dict[UpstreamId, Gate] = {}
         self._led: set[UpstreamId] = set()
         self._heard: dict[UpstreamId, RampReport] = {}
@@ -129,8 +129,8 @@
         is_booking = isinstance(job, BookingCommand)
         return Ticket(
             work=work,
-            customer=job.customer,
-            priority=self._customers.find_priority(job.customer),
+            organisation=job.organisation,
+            priority=self._organisations.find_priority(job.organisation),
             urgency=job.urgency,
             deadline=work.deadline,
             solo=is_booking or self._suspects.is_suspect(job.fingerprint),
--- a/src/rattanspoke/services/_searches.py
+++ b/src/rattanspoke/services/_searches.py
@@ -7,9 +7,9 @@
 from ..contracts import (
     CATALOG,
     COUNTERS,
-    CUSTOMERS,
     LIFECYCLE,
     LOADS,
+    ORGANISATIONS,
     PEERS,
     SUSPECTS,
     TIMELINE,
@@ -28,10 +28,10 @@
     Answer,
     Baseline,
     CoverageFirst,
-    CustomerId,
     EventKind,
     Fingerprint,
     IndexVersion,
+    OrganisationId,
     Outcome,
     Policy,
     Reason,
@@ -48,8 +48,8 @@
 
 MERGE_RESERVE = 0.05  # of the budget, kept for merging and the way back
 MAX_RESERVE = Seconds(0.02)
-RETRY_RATIO = 0.1  # retries for each sub-request of a customer to an upstream
-RETRY_CAPACITY = 10  # retries saved up by a customer for an upstream
+RETRY_RATIO = 0.1  # retries for each sub-request of an organisation to an upstream
+RETRY_CAPACITY = 10  # retries saved up by an organisation for an upstream
 HEDGE_CAPACITY = 150  # shards of hedges saved up for a service
 HEDGE_OVERDRAFT = 75  # shards of hedges sent before they are earned
 MAX_REPLANS = 1
@@ -62,17 +62,17 @@
         self._kernel = kernel
         self._catalog = kernel.find(CATALOG)
         self._counters = kernel.find(COUNTERS)
-        self._customers = kernel.find(CUSTOMERS)
+        self._organisations = kernel.find(ORGANISATIONS)
         self._lifecycle = kernel.find(LIFECYCLE)
         self._loads = kernel.find(LOADS)
         self._peers = kernel.find(PEERS)
         self._suspects = kernel.find(SUSPECTS)
         self._timeline = kernel.find(TIMELINE)
         self._random = random.Random(seed)
-        self._throttles: dict[tuple[ServiceId, CustomerId], Throttle] = {}
+        self._throttles: dict[tuple[ServiceId, OrganisationId], Throttle] = {}
         self._latencies: dict[ServiceId, LatencyWindow] = {}
-        self._hedges: dict[tuple[ServiceId, CustomerId], RatioBudget] = {}
-        self._retries: dict[tuple[CustomerId, UpstreamId], RatioBudget] = {}
+        self._hedges: dict[tuple[ServiceId, OrganisationId], RatioBudget] = {}
+        self._retries: dict[tuple[OrganisationId, UpstreamId], RatioBudget] = {}
 
     async def search(self, search: Search) -> Answer:
         """Return the merged answer.
@@ -104,7 +104,7 @@
             pinned = self._pin(search.service, gone)
             gathering = Gathering(
                 pinned,
-                self._customers.find_policy(search.customer),
+                self._organisations.find_policy(search.organisation),
                 Seconds(read_clock()),
                 deadline,
                 attempts,
@@ -132,7 +132,7 @@
         self, search: Search, fingerprint: Fingerprint, gathering: Gathering
     ) -> None:
         window = self._latencies.setdefault(search.service, LatencyWindow())
-        key = (search.service, search.customer)
+        key = (search.service, search.organisation)
         if key not in self._hedges:
             self._hedges[key] = RatioBudget(
                 0, HEDGE_CAPACITY, overdraft=HEDGE_OVERDRAFT
@@ -167,7 +167,7 @@
             f'{len(gathering.covered)} of {len(shards)} shards'
             f' at version {gathering.shard_map.version}',
             request=search.request,
-            customer=search.customer,
+            organisation=search.organisation,
         )
         return Answer(
             request=search.request,
@@ -179,11 +179,11 @@
         )
 
     def _find_throttle(self, search: Search) -> Throttle:
-        key = (search.service, search.customer)
+        key = (search.service, search.organisation)
         return self._throttles.setdefault(key, Throttle())
 
     def _retry_budget(self, search: Search, upstream: UpstreamId) -> RatioBudget:
-        key = (search.customer, upstream)
+        key = (search.organisation, upstream)
         if key not in self._retries:
             self._retries[key] = RatioBudget(
                 RETRY_RATIO, RETRY_CAPACITY, RETRY_CAPACITY
--- /dev/null
+++ b/src/rattanspoke/services/_state.py
@@ -0,0 +1,132 @@
+"""The shared state that a host knows: desired state, registrations, evacuations."""
+
+from dataclasses import dataclass, field
+
+import structlog
+
+from ..contracts import STATE_CHANGED, STATE_CODEC, ObjectList
+from ..kernel import Kernel
+from ..model import (
+    NO_REVISION,
+    DesiredState,
+    RecordError,
+    Revision,
+    StateChange,
+    StateContent,
+    StateKind,
+    StoredObject,
+)
+
+
+@dataclass(slots=True)
+class _Known:
+    """What is known of one kind.
+
+    Attributes:
+        revision: every change up to it is known.
+        objects: the newest form of each object, deletions included.
+    """
+
+    revision: Revision = NO_REVISION
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+
+
+class HostSharedState:
+    """Keep the newest form of each object; nothing that is older is ever taken."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._bus = kernel.bus
+        self._codec = kernel.find(STATE_CODEC)
+        self._log = structlog.get_logger()
+        self._known = {kind: _Known() for kind in StateKind}
+        self._desired: DesiredState | None = None
+
+    @property
+    def desired(self) -> DesiredState | None:
+        """The newest desired state, None while none is known."""
+        return self._desired
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every kind was read, and a desired state exists."""
+        known = all(each.revision > NO_REVISION for each in self._known.values())
+        return known and self._desired is not None
+
+    def revision(self, kind: StateKind) -> Revision:
+        """Return the revision up to which a kind is known."""
+        return self._known[kind].revision
+
+    def select_after(
+        self, kind: StateKind, revision: Revision
+    ) -> tuple[StoredObject, ...]:
+        """Return what changed of a kind after a revision, deletions included."""
+        objects = self._known[kind].objects.values()
+        return tuple(each for each in objects if each.revision > revision)
+
+    def adopt_list(self, kind: StateKind, listing: ObjectList) -> None:
+        """Take a complete listing of a kind; what it lacks was deleted."""
+        known = self._known[kind]
+        if listing.revision < known.revision:
+            return
+        listed = {stored.name for stored in listing.objects}
+        for stored in tuple(known.objects.values()):
+            if stored.content is not None and stored.name not in listed:
+                gone = StoredObject(
+                    kind=kind.value,
+                    name=stored.name,
+                    revision=listing.revision,
+                    content=None,
+                )
+                self._adopt(kind, gone)
+        for stored in listing.objects:
+            self._adopt(kind, stored)
+        known.revision = listing.revision
+
+    def adopt_changes(
+        self, kind: StateKind, after: Revision, changes: ObjectList
+    ) -> bool:
+        """Take the changes after a revision; False if some before it are unknown."""
+        known = self._known[kind]
+        for stored in changes.objects:
+            self._adopt(kind, stored)
+        if after > known.revision:
+            return False
+        known.revision = max(known.revision, changes.revision)
+        return True
+
+    def _adopt(self, kind: StateKind, stored: StoredObject) -> None:
+        objects = self._known[kind].objects
+        former = objects.get(stored.name)
+        if former is not None and former.revision >= stored.revision:
+            return
+        objects[stored.name] = stored
+        content = self._decode(kind, stored)
+        if isinstance(content, DesiredState):
+            self._take_desired(content)
+        elif kind is StateKind.DESIRED_STATE:
+            return
+        self._bus.announce(STATE_CHANGED, StateChange(kind, stored.name, content))
+
+    def _take_desired(self, desired: DesiredState) -> None:
+        self._desired = desired
+        self._log.info(
+            'desired state adopted',
+            version=desired.version,
+            revision=desired.revision,
+            routes=len(desired.routes),
+        )
+
+    def _decode(self, kind: StateKind, stored: StoredObject) -> StateContent | None:
+        if stored.content is None:
+            return None
+        try:
+            return self._codec.decode_state(kind, stored)
+        except RecordError as error:
+            self._log.warning(
+                'object not readable',
+                kind=kind.value,
+                name=stored.name,
+                revision=stored.revision,
+                reason=str(error),
+            )
+            return None
--- a/src/rattanspoke/services/_telemetry.py
+++ b/src/rattanspoke/services/_telemetry.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..contracts import Identity, Metric
-from ..model import CustomerId, Event, EventKind, RequestId, UpstreamId, ZoneId
+from ..model import Event, EventKind, OrganisationId, RequestId, UpstreamId, ZoneId
 
 KEPT_EVENTS = 20_000
 MICRO = 1_000_000  # parts of one; distributions are kept in whole numbers
@@ -72,7 +72,7 @@
         request: RequestId | None = None,
         upstream: UpstreamId | None = None,
         zone: ZoneId | None = None,
-        customer: CustomerId | None = None,
+        organisation: OrganisationId | None = None,
     ) -> None:
         """Keep an event."""
         event = Event(
@@ -85,7 +85,7 @@
             request=request,
             upstream=upstream,
             zone=zone,
-            customer=customer,
+            organisation=organisation,
         )
         self._events.append(event)
 
--- a/src/rattanspoke/standins/__init__.py
+++ b/src/rattanspoke/standins/__init__.py
@@ -12,9 +12,9 @@
     Scenario,
     World,
     build_world,
-    customer_token,
     list_held,
-    make_customer,
+    make_organisation,
+    organisation_token,
     zone_name,
 )
 from ._servers import HttpServer, PlatformServer, UpstreamServer
@@ -43,9 +43,9 @@
     'UpstreamServer',
     'World',
     'build_world',
-    'customer_token',
     'list_held',
-    'make_customer',
+    'make_organisation',
+    'organisation_token',
     'write_index',
     'zone_name',
 )
--- a/src/rattanspoke/standins/_local.py
+++ b/src/rattanspoke/standins/_local.py
@@ -23,7 +23,7 @@
     UpstreamId,
     UpstreamRecord,
 )
-from ..transports import decode_bundle, encode_bundle, parse_bundle
+from ..peering import decode_bundle, encode_bundle, parse_bundle
 from ._upstream import StandinUpstream
 
 OPEN_LIMIT = Seconds(1)  # to open a stream to a host that does not answer
--- a/src/rattanspoke/standins/_scenario.py
+++ b/src/rattanspoke/standins/_scenario.py
@@ -5,10 +5,10 @@
 
 from ..model import (
     CoverageFirst,
-    CustomerId,
-    CustomerRecord,
     IndexRecord,
     IndexVersion,
+    OrganisationId,
+    OrganisationRecord,
     Policy,
     Record,
     Seconds,
@@ -30,8 +30,8 @@
 JOBS = ServiceId('jobs')
 DISPATCH = ServiceId('dispatch')
 FIRST_VERSION = IndexVersion(1)
-HALVORSEN = CustomerId('halvorsen')
-WERKBANK = CustomerId('werkbankcollectief')
+HALVORSEN = OrganisationId('halvorsen')
+WERKBANK = OrganisationId('werkbankcollectief')
 FIRST_PORT = 9100
 
 
@@ -88,18 +88,20 @@
     return ZoneId(f'zone-{chr(ord("a") + number)}')
 
 
-def customer_token(customer: CustomerId) -> str:
-    """Return the bearer token of a customer of a scenario."""
-    return f'token-of-{customer}'
+def organisation_token(organisation: OrganisationId) -> str:
+    """Return the bearer token of an organisation of a scenario."""
+    return f'token-of-{organisation}'
 
 
-def make_customer(
-    customer: CustomerId, policy: Policy, rate: float, priority: int = 1
-) -> CustomerRecord:
-    """Return the record of a customer of a scenario."""
-    return CustomerRecord(
-        customer=customer,
-        token_digest=hashlib.sha256(customer_token(customer).encode()).hexdigest(),
+def make_organisation(
+    organisation: OrganisationId, policy: Policy, rate: float, priority: int = 1
+) -> OrganisationRecord:
+    """Return the record of an organisation of a scenario."""
+    return OrganisationRecord(
+        organisation=organisation,
+        token_digest=hashlib.sha256(
+            organisation_token(organisation).encode()
+        ).hexdigest(),
         policy=policy,
         queries_per_second=rate,
         priority=priority,
@@ -200,9 +202,11 @@
     for record in records:
         world.write('upstream', record.upstream, record)
     rate = scenario.queries_per_second
-    for customer, policy in (
+    for organisation, policy in (
         (HALVORSEN, TailFirst()),
         (WERKBANK, CoverageFirst()),
     ):
-        world.write('customer', customer, make_customer(customer, policy, rate))
+        world.write(
+            'organisation', organisation, make_organisation(organisation, policy, rate)
+        )
     world.write('index', JOBS, world.index_record)
--- a/src/rattanspoke/standins/_servers.py
+++ b/src/rattanspoke/standins/_servers.py
@@ -9,10 +9,10 @@
 
 from ..contracts import SearchResult, SubResult
 from ..model import (
-    CustomerId,
     Fingerprint,
     HostId,
     IndexVersion,
+    OrganisationId,
     Outcome,
     PlatformConflict,
     PlatformObjectMissing,
@@ -210,7 +210,7 @@
         shards=tuple(ShardId(shard) for shard in part.shards),
         query=part.query,
         limit=part.limit,
-        customer=CustomerId(''),
+        organisation=OrganisationId(''),
         fingerprint=Fingerprint(''),
         budget=budget,
     )
--- a/src/rattanspoke/transports/_front.py
+++ b/src/rattanspoke/transports/_front.py
@@ -13,8 +13,8 @@
 from ..contracts import (
     BOOKINGS,
     COUNTERS,
-    CUSTOMERS,
     LIFECYCLE,
+    ORGANISATIONS,
     SEARCHES,
     TIMELINE,
     Metric,
@@ -23,9 +23,9 @@
 from ..model import (
     Answer,
     Booking,
-    CustomerRecord,
     EventKind,
     IdempotencyKey,
+    OrganisationRecord,
     Outcome,
     Reason,
     Receipt,
@@ -35,7 +35,7 @@
     Seconds,
     ServiceId,
 )
-from ._metrics import render_metrics
+from ..observability import render_metrics
 from ._status import describe_status, describe_timeline
 
 MILLISECONDS = 1000  # in a second
@@ -127,14 +127,14 @@
 async def _serve(
     kernel: Kernel,
     request: Request[Any, Any, Any],
-    work: Callable[[Kernel, CustomerRecord, bytes], Awaitable[Response[Any]]],
+    work: Callable[[Kernel, OrganisationRecord, bytes], Awaitable[Response[Any]]],
 ) -> Response[Any]:
     """Run a caller's work; cancel it when the caller goes away."""
     kernel.find(COUNTERS).add(Metric.REQUESTS, request.url.path)
     try:
-        customer = kernel.find(CUSTOMERS).authenticate(_read_token(request))
+        organisation = kernel.find(ORGANISATIONS).authenticate(_read_token(request))
         body = await request.body()
-        return await _run_while_connected(request, work(kernel, customer, body))
+        return await _run_while_connected(request, work(kernel, organisation, body))
     except RequestError as error:
         kernel.find(COUNTERS).add(Metric.REFUSALS, error.reason.value)
         kernel.find(TIMELINE).note(EventKind.REFUSAL, str(error))
@@ -164,7 +164,7 @@
 
 
 async def _run_search(
-    kernel: Kernel, customer: CustomerRecord, body: bytes
+    kernel: Kernel, organisation: OrganisationRecord, body: bytes
 ) -> Response[Any]:
     form = _decode(body, SearchForm)
     _require(0 < form.limit <= MAX_LIMIT, f'limit: must be 1 to {MAX_LIMIT}')
@@ -172,41 +172,47 @@
     _require(bool(form.query.strip()), 'query: must not be empty')
     search = Search(
         request=_draw_request(),
-        customer=customer.customer,
+        organisation=organisation.organisation,
         service=ServiceId(form.service),
         query=form.query,
         limit=form.limit,
         budget=_read_budget(form.deadline_ms),
         urgency=_read_urgency(form.urgency),
     )
-    _admit(kernel, customer, search.service, search.request)
+    _admit(kernel, organisation, search.service, search.request)
     return Response(_write_answer(await kernel.find(SEARCHES).search(search)))
 
 
 async def _run_booking(
-    kernel: Kernel, customer: CustomerRecord, body: bytes
+    kernel: Kernel, organisation: OrganisationRecord, body: bytes
 ) -> Response[Any]:
     form = _decode(body, BookingForm)
     _require(0 < len(form.key) <= MAX_KEY, f'key: must be 1 to {MAX_KEY} characters')
     booking = Booking(
         request=_draw_request(),
-        customer=customer.customer,
+        organisation=organisation.organisation,
         service=ServiceId(form.service),
         key=IdempotencyKey(form.key),
         content=form.content,
         budget=_read_budget(form.deadline_ms),
         urgency=_read_urgency(form.urgency),
     )
-    _admit(kernel, customer, booking.service, booking.request)
+    _admit(kernel, organisation, booking.service, booking.request)
     return Response(_write_receipt(await kernel.find(BOOKINGS).book(booking)))
 
 
 def _admit(
-    kernel: Kernel, customer: CustomerRecord, service: ServiceId, request: RequestId
+    kernel: Kernel,
+    organisation: OrganisationRecord,
+    service: ServiceId,
+    request: RequestId,
 ) -> None:
-    kernel.find(CUSTOMERS).admit(customer, service)
+    kernel.find(ORGANISATIONS).admit(organisation, service)
     kernel.find(TIMELINE).note(
-        EventKind.REQUEST, service, request=request, customer=customer.customer
+        EventKind.REQUEST,
+        service,
+        request=request,
+        organisation=organisation.organisation,
     )
 
 
--- a/src/rattanspoke/transports/_records.py
+++ b/src/rattanspoke/transports/_records.py
@@ -11,8 +11,8 @@
     Baseline,
     ClaimEntry,
     CoverageFirst,
-    CustomerRecord,
     IndexRecord,
+    OrganisationRecord,
     Policy,
     Record,
     RecordError,
@@ -32,7 +32,7 @@
     RecordKind.ZONE: ZoneRecord,
     RecordKind.SERVICE: ServiceRecord,
     RecordKind.UPSTREAM: UpstreamRecord,
-    RecordKind.CUSTOMER: CustomerRecord,
+    RecordKind.ORGANISATION: OrganisationRecord,
     RecordKind.INDEX: IndexRecord,
     RecordKind.SEATS: SeatsRecord,
 }
@@ -42,7 +42,7 @@
     'baseline': Baseline,
 }
 POLICY_NAMES = {policy: name for name, policy in POLICIES.items()}
-NEWEST_SCHEMA = {kind: 1 for kind in RecordKind} | {RecordKind.CUSTOMER: 2}
+NEWEST_SCHEMA = {kind: 1 for kind in RecordKind} | {RecordKind.ORGANISATION: 2}
 
 
 class RecordCodec:
@@ -97,8 +97,8 @@
     unknown = set(form) - {field.name for field in fields(record_type)}
     if unknown:
         raise RecordError(f'{min(unknown)}: is not a field of {kind.value} records')
-    if kind is RecordKind.CUSTOMER:
-        return _finish(_read_customer(form), name, kind)
+    if kind is RecordKind.ORGANISATION:
+        return _finish(_read_organisation(form), name, kind)
     return _finish(_convert(form, record_type), name, kind)
 
 
@@ -106,7 +106,7 @@
     """Return the newest form of a record."""
     kind = next(kind for kind, each in RECORD_TYPES.items() if isinstance(record, each))
     form: Form = msgspec.to_builtins(record)
-    if isinstance(record, CustomerRecord):
+    if isinstance(record, OrganisationRecord):
         form['policy'] = {
             'kind': POLICY_NAMES[type(record.policy)],
             **msgspec.to_builtins(record.policy),
@@ -115,7 +115,7 @@
 
 
 _NAMED_BY_KIND = frozenset(
-    (RecordKind.ZONE, RecordKind.SERVICE, RecordKind.UPSTREAM, RecordKind.CUSTOMER)
+    (RecordKind.ZONE, RecordKind.SERVICE, RecordKind.UPSTREAM, RecordKind.ORGANISATION)
 )
 _NAME_FIELD = {RecordKind.INDEX: 'service', RecordKind.SEATS: 'zone'}
 
@@ -137,8 +137,8 @@
     return form
 
 
-def _upgrade_customer(form: Form) -> Form:
-    """Schema 1 only names what the customer weighs; schema 2 sets the policy."""
+def _upgrade_organisation(form: Form) -> Form:
+    """Schema 1 only names what the organisation weighs; schema 2 sets the policy."""
     weighs = form.pop('weighs', 'coverage')
     if weighs not in {'tail', 'coverage'}:
         raise RecordError(f'weighs: must be tail or coverage, is {weighs!r}')
@@ -146,15 +146,15 @@
 
 
 _UPGRADES: dict[tuple[RecordKind, int], Callable[[Form], Form]] = {
-    (RecordKind.CUSTOMER, 1): _upgrade_customer,
+    (RecordKind.ORGANISATION, 1): _upgrade_organisation,
 }
 
 
-def _read_customer(form: Form) -> CustomerRecord:
+def _read_organisation(form: Form) -> OrganisationRecord:
     policy = _read_policy(form.pop('policy', {'kind': 'coverage first'}))
-    plain = _convert(form, _CustomerForm)
+    plain = _convert(form, _OrganisationForm)
     values = {name: getattr(plain, name) for name in plain.__struct_fields__}
-    return CustomerRecord(policy=policy, **values)
+    return OrganisationRecord(policy=policy, **values)
 
 
 def _read_policy(form: Any) -> Policy:
@@ -187,13 +187,13 @@
 
 
 # The union of policies is no type that the library decodes, so it is left out here.
-_CustomerForm = msgspec.defstruct(
-    'CustomerForm',
+_OrganisationForm = msgspec.defstruct(
+    'OrganisationForm',
     [
         (field.name, field.type)
-        if field.name in {'customer', 'token_digest'}
+        if field.name in {'organisation', 'token_digest'}
         else (field.name, field.type, field.default)
-        for field in fields(CustomerRecord)
+        for field in fields(OrganisationRecord)
         if field.name != 'policy'
     ],
 )
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
-from rattanspoke.model import Answer, CustomerId, Outcome, RequestError
+from rattanspoke.model import Answer, OrganisationId, Outcome, RequestError
 from rattanspoke.standins import HALVORSEN
 
 from .tiers import Tier
@@ -50,7 +50,7 @@
     tier: Tier,
     rate: float,
     seconds: float,
-    customer: CustomerId = HALVORSEN,
+    organisation: OrganisationId = HALVORSEN,
     budget: float = 1,
     seed: int = 7,
     words: tuple[str, ...] = ('glass', 'pane', 'ring', 'clasp'),
@@ -65,7 +65,7 @@
     async def ask(host, query):
         began = loop.time()
         try:
-            answer = await tier.search(host, query, customer, budget)
+            answer = await tier.search(host, query, organisation, budget)
         except RequestError as error:
             report.refusals.append(error)
             return
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -60,7 +60,7 @@
 async def check_service(tier: Tier) -> None:
     """After the fault every host answers in full again and bookings run."""
     for host in tier.hosts:
-        answer = await tier.search(host, customer=WERKBANK)
+        answer = await tier.search(host, organisation=WERKBANK)
         assert answer.missing == {}, (host, answer.missing)
         check_answer(tier, answer, 'glass', 10)
     receipt = await tier.book(tier.hosts[-1], 'after', content='after', budget=3)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -16,9 +16,9 @@
     TokenBucket,
 )
 from rattanspoke.model import (
-    CustomerId,
     Fingerprint,
     Incarnation,
+    OrganisationId,
     Seconds,
     ServiceId,
     UpstreamId,
@@ -26,8 +26,8 @@
     ZoneId,
 )
 
-COUNTER = CustomerId('counter')
-COURIER = CustomerId('courier')
+COUNTER = OrganisationId('counter')
+COURIER = OrganisationId('courier')
 LIFE = Incarnation('u.1')
 RECORD = UpstreamRecord(
     upstream=UpstreamId('u'),
@@ -41,11 +41,11 @@
 )
 
 
-def ticket(customer, number, urgency=0, priority=1, solo=False):
+def ticket(organisation, number, urgency=0, priority=1, solo=False):
     """Return a ticket that is told apart by its number."""
     return Ticket(
         work=number,
-        customer=customer,
+        organisation=organisation,
         priority=priority,
         urgency=urgency,
         deadline=Seconds(100 + number),
@@ -60,12 +60,12 @@
         queue.push(ticket(COURIER, number, urgency=9))
     for number in range(10):
         queue.push(ticket(COUNTER, number))
-    turns = [queue.pop().customer for _ in range(20)]
+    turns = [queue.pop().organisation for _ in range(20)]
     assert turns.count(COUNTER) == 10
 
 
 def test_urgency_orders_work_within_a_share():
-    """A customer's urgent work goes before its other work, then by deadline."""
+    """A organisation's urgent work goes before its other work, then by deadline."""
     queue = FairQueue()
     for number, urgency in ((1, 0), (2, 5), (3, 5)):
         queue.push(ticket(COUNTER, number, urgency))
@@ -80,7 +80,7 @@
     assert queue.pop().work == 2
 
 
-def test_idle_customer_saves_up_no_turns():
+def test_idle_organisation_saves_up_no_turns():
     """Who was idle starts level with the others and does not shut them out."""
     queue = FairQueue()
     for number in range(50):
@@ -89,7 +89,7 @@
         queue.pop()
     for number in range(50):
         queue.push(ticket(COUNTER, number))
-    turns = [queue.pop().customer for _ in range(10)]
+    turns = [queue.pop().organisation for _ in range(10)]
     assert 4 <= turns.count(COURIER) <= 6
 
 
@@ -99,8 +99,8 @@
     """Every ticket comes out once, and a solo ticket alone."""
     queue = FairQueue()
     for number, (is_courier, urgency, solo) in enumerate(entries):
-        customer = COURIER if is_courier else COUNTER
-        queue.push(ticket(customer, number, urgency, solo=solo))
+        organisation = COURIER if is_courier else COUNTER
+        queue.push(ticket(organisation, number, urgency, solo=solo))
     seen = []
     while len(queue):
         batch = queue.pop_batch(4)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -31,7 +31,7 @@
         async with Tier(hosts_per_zone=2) as tier:
             leaver = tier.hosts[0]
             searches = [
-                asyncio.ensure_future(tier.search(leaver, customer=WERKBANK))
+                asyncio.ensure_future(tier.search(leaver, organisation=WERKBANK))
                 for _ in range(20)
             ]
             bookings = [
@@ -55,7 +55,7 @@
     async def scene():
         async with Tier(hosts_per_zone=2) as tier:
             load = asyncio.ensure_future(
-                drive(tier, rate=40, seconds=30, customer=WERKBANK)
+                drive(tier, rate=40, seconds=30, organisation=WERKBANK)
             )
             for number, host in enumerate(list(tier.hosts)):
                 await tier.leave(host)
@@ -77,13 +77,13 @@
     async def scene():
         async with Tier(hosts_per_zone=2) as tier:
             load = asyncio.ensure_future(
-                drive(tier, rate=40, seconds=8, customer=WERKBANK, budget=budget)
+                drive(tier, rate=40, seconds=8, organisation=WERKBANK, budget=budget)
             )
             await asyncio.sleep(2)
             await tier.kill(tier.hosts[0])
             report = await load
             assert report.coverage > 0.98
-            answer = await tier.search(tier.hosts[0], customer=WERKBANK)
+            answer = await tier.search(tier.hosts[0], organisation=WERKBANK)
             assert answer.missing == {}
 
     run(scene())
@@ -97,7 +97,7 @@
             inside = tier.cut_zone('host-1')
             tier.world.platform.set_down(is_down=True)
             await asyncio.sleep(20)
-            answer = await tier.search(inside[0], customer=WERKBANK)
+            answer = await tier.search(inside[0], organisation=WERKBANK)
             held = {
                 shard
                 for upstream in tier.world.upstreams.values()
@@ -105,12 +105,12 @@
                 for shard in upstream.held.get(1, ())
             }
             assert set(answer.covered) == held
-            outside = await tier.search(tier.hosts[0], customer=WERKBANK)
+            outside = await tier.search(tier.hosts[0], organisation=WERKBANK)
             assert outside.missing == {}
             tier.network.heal()
             tier.world.platform.set_down(is_down=False)
             await asyncio.sleep(8)
-            whole = await tier.search(inside[0], customer=WERKBANK)
+            whole = await tier.search(inside[0], organisation=WERKBANK)
             assert whole.missing == {}
 
     run(scene())
@@ -141,10 +141,10 @@
         async with Tier(hosts_per_zone=2) as tier:
             tier.network.cut(tier.hosts[0], tier.hosts[2], both=False)
             report = await drive(
-                tier, rate=30, seconds=6, customer=WERKBANK, budget=0.5
+                tier, rate=30, seconds=6, organisation=WERKBANK, budget=0.5
             )
             assert report.coverage > 0.97
-            answer = await tier.search(tier.hosts[0], customer=WERKBANK)
+            answer = await tier.search(tier.hosts[0], organisation=WERKBANK)
             assert answer.missing == {}
             for upstream in tier.world.upstreams.values():
                 assert upstream.tally.most_in_flight <= upstream.record.slots
@@ -163,13 +163,13 @@
             tier.world.platform.set_down(is_down=True)
             await asyncio.sleep(SELF_FENCE + 2)
             assert tier.kernels[lonely].find(MEMBERS).is_fenced()
-            answer = await tier.search(lonely, customer=WERKBANK)
+            answer = await tier.search(lonely, organisation=WERKBANK)
             assert answer.covered == ()
             tier.world.platform.set_down(is_down=False)
             tier.network.heal()
             await asyncio.sleep(5)
             assert not tier.kernels[lonely].find(MEMBERS).is_fenced()
-            assert (await tier.search(lonely, customer=WERKBANK)).missing == {}
+            assert (await tier.search(lonely, organisation=WERKBANK)).missing == {}
 
     run(scene())
 
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -85,7 +85,7 @@
     first, last = next(iter(tier.kernels)), list(tier.kernels)[-1]
     hosts = list(tier.kernels)
     searches = [
-        asyncio.ensure_future(end_of(tier.search(host, customer=WERKBANK)))
+        asyncio.ensure_future(end_of(tier.search(host, organisation=WERKBANK)))
         for host in hosts
     ]
     bookings = [
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -133,9 +133,9 @@
         }
         return await self.post(url, 'bookings', body, HALVORSEN)
 
-    async def post(self, url, path, body, customer=WERKBANK):
+    async def post(self, url, path, body, organisation=WERKBANK):
         """Send one request."""
-        headers = {'Authorization': f'Bearer token-of-{customer}'}
+        headers = {'Authorization': f'Bearer token-of-{organisation}'}
         try:
             response = await self.client.post(
                 f'{url}/v1/{path}', json=body, headers=headers
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from rattanspoke.contracts import CUSTOMERS, PEERS, Metric
+from rattanspoke.contracts import ORGANISATIONS, PEERS, Metric
 from rattanspoke.model import (
     Baseline,
     CoverageFirst,
-    CustomerId,
     IndexRecord,
     IndexVersion,
+    OrganisationId,
     Outcome,
     Reason,
     RequestError,
@@ -28,7 +28,7 @@
     POISON,
     WERKBANK,
     Scenario,
-    make_customer,
+    make_organisation,
 )
 
 from .loads import drive, merge
@@ -37,7 +37,7 @@
 ZONE_B = ZoneId('zone-b')
 WIDE = Scenario(shards=100, upstreams=8, replicas=3, documents=200, bookers=0)
 TAIL_RATIO = 1.3  # of the p99 without stragglers
-QUOTA = 20  # searches a second of a customer
+QUOTA = 20  # searches a second of an organisation
 DETECTION = 2  # seconds in which owners find out that an upstream is cold again
 EXTRA_WORK = 0.02  # of the shards that answers need
 
@@ -46,8 +46,8 @@
     """Return the p99 latency, the mean coverage and the extra work of one run."""
     async with Tier(WIDE, hosts_per_zone=2) as tier:
         tier.world.warm_up()
-        customer = make_customer(HALVORSEN, policy, 1e6)
-        tier.world.write('customer', HALVORSEN, customer)
+        organisation = make_organisation(HALVORSEN, policy, 1e6)
+        tier.world.write('organisation', HALVORSEN, organisation)
         await drive(tier, rate=60, seconds=12)
         for upstream in tier.world.upstreams.values():
             upstream.behaviour.straggle = straggle
@@ -112,7 +112,7 @@
         async with Tier(Scenario(versions=versions)) as tier:
             for upstream in tier.world.upstreams.values():
                 upstream.held.pop(IndexVersion(2), None)
-            answer = await tier.search(tier.hosts[0], customer=WERKBANK)
+            answer = await tier.search(tier.hosts[0], organisation=WERKBANK)
             assert answer.version == 1
             assert answer.missing == {}
             assert tier.total(Metric.REPLANS) == 1
@@ -166,7 +166,7 @@
                 return send(to, message, answer if is_part else on_reply)
 
             peers.post = cross
-            answer = await tier.search(host, customer=WERKBANK)
+            answer = await tier.search(host, organisation=WERKBANK)
             expected = tier.world.index.search(
                 answer.version, answer.covered, 'glass', 10
             )
@@ -185,7 +185,7 @@
             dead.stop()
             lost = dead.held[IndexVersion(1)]
             for _ in range(3):
-                answer = await tier.search(tier.hosts[0], customer=WERKBANK)
+                answer = await tier.search(tier.hosts[0], organisation=WERKBANK)
                 assert set(answer.missing) == lost
                 assert Reason.DEADLINE not in answer.missing.values()
 
@@ -200,7 +200,7 @@
             tier.world.warm_up()
             leaving = tier.world.upstreams[UpstreamId('jobs-zone-a-0')]
             load = asyncio.ensure_future(
-                drive(tier, rate=60, seconds=8, customer=WERKBANK)
+                drive(tier, rate=60, seconds=8, organisation=WERKBANK)
             )
             await asyncio.sleep(3)
             leaving.behaviour.leaving = True
@@ -292,17 +292,17 @@
     async def scene(rate):
         async with Tier(Scenario(queries_per_second=QUOTA)) as tier:
             tier.world.warm_up()
-            rival, *others = [CustomerId(f'workshop-{n}') for n in range(12)]
+            rival, *others = [OrganisationId(f'workshop-{n}') for n in range(12)]
             for name in (rival, *others):
-                customer = make_customer(name, CoverageFirst(), QUOTA)
-                tier.world.write('customer', name, customer)
+                organisation = make_organisation(name, CoverageFirst(), QUOTA)
+                tier.world.write('organisation', name, organisation)
             await asyncio.sleep(1)
             pushing = asyncio.ensure_future(
                 drive_admitted(tier, rival, rate=rate, seconds=20)
             )
             reports = await asyncio.gather(
                 *(
-                    drive(tier, rate=5, seconds=20, customer=name, seed=number)
+                    drive(tier, rate=5, seconds=20, organisation=name, seed=number)
                     for number, name in enumerate(others)
                 )
             )
@@ -315,18 +315,18 @@
     assert pushed.coverage == usual.coverage == 1
 
 
-async def drive_admitted(tier, customer, rate, seconds):
+async def drive_admitted(tier, organisation, rate, seconds):
     """Send searches as the front does: those over the quota are refused."""
     admitted = tier.search
 
     async def admit(host, query, who, budget):
-        customers = tier.kernels[host].find(CUSTOMERS)
-        customers.admit(make_customer(who, CoverageFirst(), QUOTA), JOBS)
+        organisations = tier.kernels[host].find(ORGANISATIONS)
+        organisations.admit(make_organisation(who, CoverageFirst(), QUOTA), JOBS)
         return await admitted(host, query, who, budget)
 
     limited = type('Admitting', (), {'search': staticmethod(admit)})()
     limited.hosts = tier.hosts
-    return await drive(limited, rate=rate, seconds=seconds, customer=customer)
+    return await drive(limited, rate=rate, seconds=seconds, organisation=organisation)
 
 
 def test_overload_keeps_goodput(run):
@@ -338,15 +338,17 @@
             tier.world.warm_up()
             for upstream in tier.world.upstreams.values():
                 upstream.behaviour.base = 0.25
-            customer = make_customer(WERKBANK, CoverageFirst(), 1e6)
-            tier.world.write('customer', WERKBANK, customer)
-            await drive(tier, rate=20, seconds=3, customer=WERKBANK, budget=2)
-            await drive(tier, rate=rate, seconds=4, customer=WERKBANK, budget=2)
+            organisation = make_organisation(WERKBANK, CoverageFirst(), 1e6)
+            tier.world.write('organisation', WERKBANK, organisation)
+            await drive(tier, rate=20, seconds=3, organisation=WERKBANK, budget=2)
+            await drive(tier, rate=rate, seconds=4, organisation=WERKBANK, budget=2)
             report = await drive(
-                tier, rate=rate, seconds=8, customer=WERKBANK, budget=2
+                tier, rate=rate, seconds=8, organisation=WERKBANK, budget=2
             )
             await asyncio.sleep(3)
-            calm = await drive(tier, rate=20, seconds=4, customer=WERKBANK, budget=2)
+            calm = await drive(
+                tier, rate=20, seconds=4, organisation=WERKBANK, budget=2
+            )
             return report.useful / 8, calm
 
     useful = {rate: run(scene(rate))[0] for rate in (80, 100, 120, 140)}
@@ -387,8 +389,8 @@
                 for upstream in tier.world.upstreams.values():
                     if upstream.record.zone == ZONE_B:
                         upstream.stop()
-            await drive(tier, rate=20, seconds=6, customer=WERKBANK)
-            report = await drive(tier, rate=20, seconds=4, customer=WERKBANK)
+            await drive(tier, rate=20, seconds=6, organisation=WERKBANK)
+            report = await drive(tier, rate=20, seconds=4, organisation=WERKBANK)
             assert 0.5 < report.coverage < 0.8
             assert report.quantile(0.9) < 0.2
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -69,11 +69,11 @@
     assert field in str(caught.value)
 
 
-def test_old_schema_of_a_customer_is_read():
+def test_old_schema_of_a_organisation_is_read():
     """Schema 1 stands beside schema 2 while a change rolls out."""
     digest = '0' * 64
     text = (
-        "[{kind: 'customer', name: 'c', spec:"
+        "[{kind: 'organisation', name: 'c', spec:"
         f" {{schema: 1, token_digest: '{digest}', weighs: 'tail'}}}}]"
     )
     (declared,) = parse_records(text, 'records')
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -178,7 +178,9 @@
                 upstream.behaviour.base = 0.3
             first = tier.hosts[0]
             searches = [
-                asyncio.ensure_future(tier.search(first, customer=WERKBANK, budget=20))
+                asyncio.ensure_future(
+                    tier.search(first, organisation=WERKBANK, budget=20)
+                )
                 for _ in range(20)
             ]
             await asyncio.sleep(0.1)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -26,8 +26,11 @@
     'contracts': {'kernel', 'model'},
     'decisions': {'model'},
     'services': {'contracts', 'decisions', 'kernel', 'model'},
-    'transports': {'contracts', 'decisions', 'kernel', 'model'},
-    'standins': {'contracts', 'model', 'transports'},
+    'observability': {'contracts', 'kernel', 'model'},
+    'peering': {'contracts', 'model'},
+    'platform': {'contracts', 'kernel', 'model'},
+    'transports': {'contracts', 'decisions', 'kernel', 'model', 'observability'},
+    'standins': {'contracts', 'model', 'peering', 'transports'},
 }
 
 
@@ -67,7 +70,7 @@
 
 def test_no_service_imports_another():
     """Services reach each other through the kernel; only their helpers are shared."""
-    helpers = {'_tasks', '_link', '_work', '_gate', '_condition', '_fanout'}
+    helpers = {'_tasks', '_link', '_work', '_gate', '_condition', '_fanout', '_part'}
     for path in modules_of('services'):
         if path.name == '__init__.py':
             continue
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -93,12 +93,12 @@
 
     @rule(
         query=st.sampled_from(QUERIES),
-        customer=st.sampled_from([HALVORSEN, WERKBANK]),
+        organisation=st.sampled_from([HALVORSEN, WERKBANK]),
         limit=st.integers(1, 30),
         budget=st.sampled_from([0.01, 0.05, 0.5]),
         many=st.integers(1, 6),
     )
-    def search(self, query, customer, limit, budget, many):
+    def search(self, query, organisation, limit, budget, many):
         """Several searches at once, through every host."""
         hosts = self.tier.hosts
         answers = self.run(
@@ -107,7 +107,7 @@
                     self.tier.search(
                         hosts[number % len(hosts)],
                         query,
-                        customer,
+                        organisation,
                         budget,
                         limit=limit,
                     )
--- a/tests/tiers.py
+++ b/tests/tiers.py
@@ -24,10 +24,10 @@
 from rattanspoke.model import (
     Answer,
     Booking,
-    CustomerId,
     HostId,
     IdempotencyKey,
     Incarnation,
+    OrganisationId,
     Receipt,
     RequestId,
     Search,
@@ -144,7 +144,7 @@
         self,
         host: HostId,
         query: str = 'glass',
-        customer: CustomerId = HALVORSEN,
+        organisation: OrganisationId = HALVORSEN,
         budget: float = 0.5,
         service: ServiceId = JOBS,
         limit: int = 10,
@@ -153,7 +153,7 @@
         """Ask a host for a search."""
         search = Search(
             request=RequestId(f'r{next(self._requests)}'),
-            customer=customer,
+            organisation=organisation,
             service=service,
             query=query,
             limit=limit,
@@ -167,13 +167,13 @@
         host: HostId,
         key: str,
         content: str = 'resize ring',
-        customer: CustomerId = HALVORSEN,
+        organisation: OrganisationId = HALVORSEN,
         budget: float = 1,
     ) -> Receipt:
         """Ask a host for a booking."""
         booking = Booking(
             request=RequestId(f'r{next(self._requests)}'),
-            customer=customer,
+            organisation=organisation,
             service=DISPATCH,
             key=IdempotencyKey(key),
             content=content,
--- a/tools/measure_slopes.py
+++ b/tools/measure_slopes.py
@@ -18,7 +18,6 @@
 from rattanspoke.decisions import Membership, assign_shards, choose_version
 from rattanspoke.model import (
     CallId,
-    CustomerId,
     DocumentId,
     Fingerprint,
     Heartbeat,
@@ -27,6 +26,7 @@
     Incarnation,
     IndexRecord,
     IndexVersion,
+    OrganisationId,
     Outcome,
     RequestId,
     Revision,
@@ -42,15 +42,17 @@
     UpstreamRecord,
     ZoneId,
 )
-from rattanspoke.standins import HttpServer, Scenario, UpstreamServer, build_world
-from rattanspoke.transports import (
+from rattanspoke.peering import (
     GrpcTransport,
-    HttpUpstreams,
-    RecordCodec,
     decode_bundle,
     encode_bundle,
     parse_bundle,
 )
+from rattanspoke.standins import HttpServer, Scenario, UpstreamServer, build_world
+from rattanspoke.transports import (
+    HttpUpstreams,
+    RecordCodec,
+)
 
 MICROSECONDS = 1e6
 ZONE = ZoneId('zone-a')
@@ -67,7 +69,7 @@
         shards=tuple(ShardId(f's{each:04d}') for each in range(shards)),
         query='polish glass',
         limit=10,
-        customer=CustomerId('halvorsen'),
+        organisation=OrganisationId('halvorsen'),
         fingerprint=Fingerprint('0' * 32),
         budget=Seconds(0.25),
     )
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -13,8 +13,8 @@
 from rattanspoke.model import (
     Baseline,
     CoverageFirst,
-    CustomerRecord,
     IndexRecord,
+    OrganisationRecord,
     ServiceRecord,
     TailFirst,
     UpstreamRecord,
@@ -33,7 +33,7 @@
     ('zone', ZoneRecord),
     ('service', ServiceRecord),
     ('upstream', UpstreamRecord),
-    ('customer', CustomerRecord),
+    ('organisation', OrganisationRecord),
     ('policy: tail first', TailFirst),
     ('policy: coverage first', CoverageFirst),
     ('policy: baseline', Baseline),
