--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -10,25 +10,33 @@
     IDENTITY,
     LIFECYCLE,
     LINES,
+    NEWS,
     OBJECT_STORE,
+    PEER_TRANSPORT,
+    PEERS,
     PLACEMENTS,
     SHARED_STATE,
     STATE_CODEC,
+    TIMELINE,
     UPSTREAM_LINES,
     BudgetRule,
     Counters,
     Identity,
     ObjectStore,
+    PeerTransport,
     StateCodec,
+    Timeline,
     UpstreamLines,
 )
 from .kernel import Kernel, ServiceKey
-from .model import HostEntry
+from .model import HostEntry, HostId
 from .services import (
     HostFleet,
     HostLifecycle,
+    HostNews,
     HostPlacements,
     HostSharedState,
+    PeerLinks,
     RequestEntry,
     StoreFollower,
     UpstreamChannels,
@@ -46,13 +54,21 @@
     store: ObjectStore
     codec: StateCodec
     upstream_lines: UpstreamLines
+    peer_transport: PeerTransport
+    timeline: Timeline
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EdgeRules:
-    """What the platform lets all hosts together do."""
+    """What the platform tells of other hosts, and lets all of them together do.
+
+    Attributes:
+        extra: bounds on extra sends to a service.
+        seeds: hosts that may know the others while the store does not answer.
+    """
 
     extra: BudgetRule
+    seeds: tuple[HostId, ...] = ()
 
 
 def assemble_edge(
@@ -73,10 +89,14 @@
     kernel.provide(OBJECT_STORE, ports.store)
     kernel.provide(STATE_CODEC, ports.codec)
     kernel.provide(UPSTREAM_LINES, ports.upstream_lines)
+    kernel.provide(TIMELINE, ports.timeline)
+    kernel.provide(PEER_TRANSPORT, ports.peer_transport)
     kernel.provide(LIFECYCLE, HostLifecycle())
+    kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
     kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
-    kernel.provide(FLEET, HostFleet(kernel, entry))
+    kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
+    kernel.provide(NEWS, HostNews(kernel))
     kernel.provide(LINES, UpstreamChannels(kernel))
     kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra))
     kernel.provide(ENTRY, RequestEntry(kernel))
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -14,10 +14,11 @@
 
 from ._edge import EdgePorts, EdgeRules, assemble_edge
 from ._listening import QuietServer
-from .contracts import LIFECYCLE, BudgetRule, Identity
+from .contracts import FLEET, LIFECYCLE, BudgetRule, Identity
 from .kernel import Kernel
 from .model import HostEntry, Incarnation, Seconds
 from .observability import render_metrics
+from .peering import GrpcTransport
 from .platform import (
     Application,
     HostSettings,
@@ -27,7 +28,7 @@
     make_caller_app,
     make_probe_app,
 )
-from .services import HostCounters
+from .services import HostCounters, HostTimeline
 
 # The balancer takes a host out after two probes, a second apart, that fail.
 BALANCER_TIME = Seconds(2.5)
@@ -45,17 +46,20 @@
         life = Incarnation(secrets.token_hex(8))
         identity = Identity(settings.host, life, settings.zone)
         entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
-        self._store = HttpStore(settings.store, counters)
+        store = HttpStore(settings.store, counters)
+        transport = GrpcTransport(settings.host)
         ports = EdgePorts(
             counters=counters,
-            store=self._store,
+            store=store,
             codec=StateForms(),
             upstream_lines=HttpConnections(),
+            peer_transport=transport,
+            timeline=HostTimeline(identity),
         )
         extra = BudgetRule(settings.retry_ratio, settings.retry_slack)
         seed = random.SystemRandom().randrange(MAX_SEED)
         self.kernel: Kernel = assemble_edge(
-            identity, entry, ports, EdgeRules(extra=extra), seed
+            identity, entry, ports, EdgeRules(extra=extra, seeds=settings.seeds), seed
         )
         callers = make_caller_app(self.kernel)
         probes = make_probe_app(self.kernel, render_metrics)
@@ -65,7 +69,6 @@
 
     async def __aenter__(self) -> Self:
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(self._store)
             await stack.enter_async_context(self.kernel)
             await stack.enter_async_context(self._probes)
             await stack.enter_async_context(self._callers)
@@ -88,6 +91,7 @@
         """
         lifecycle = self.kernel.find(LIFECYCLE)
         lifecycle.leave()
+        self.kernel.find(FLEET).announce_leaving()
         await asyncio.sleep(BALANCER_TIME)
         self._callers.stop()
         left = self._settings.grace - BALANCER_TIME - EXIT_RESERVE
--- a/src/rattanspoke/_process.py
+++ b/src/rattanspoke/_process.py
@@ -17,9 +17,10 @@
 from .kernel import Kernel
 from .model import Incarnation
 from .peering import GrpcTransport
+from .platform import HttpStore
 from .services import HostCounters, HostTimeline
 from .transports import (
-    HttpPlatform,
+    HttpRecordStore,
     HttpUpstreams,
     RecordCodec,
     make_front,
@@ -39,7 +40,7 @@
         )
         counters = HostCounters()
         self._transport = GrpcTransport(settings.host)
-        self._platform = HttpPlatform(settings.platform, counters)
+        self._platform = HttpRecordStore(HttpStore(settings.platform, counters))
         ports = Ports(
             codec=RecordCodec(),
             counters=counters,
--- a/src/rattanspoke/commands/_configure.py
+++ b/src/rattanspoke/commands/_configure.py
@@ -15,8 +15,9 @@
     RecordKind,
     Revision,
 )
+from ..platform import HttpStore
 from ..services import HostCounters
-from ..transports import HttpPlatform, RecordCodec
+from ..transports import HttpRecordStore, RecordCodec, RecordStore
 from ._codes import ExitCode
 from ._files import Declared, load_records, write_declared
 
@@ -52,7 +53,7 @@
     async def _get(self) -> str:
         kind = RecordKind(self.argument('kind'))
         name = self.argument('name')
-        async with HttpPlatform(self.option('platform'), HostCounters()) as platform:
+        async with open_records(self.option('platform')) as platform:
             stored = await platform.read(kind.value, name)
         if stored is None or stored.content is None:
             raise RecordError(f'{kind.value}/{name}: does not exist')
@@ -83,7 +84,7 @@
 
     async def _apply(self, declared: list[Declared]) -> int:
         code = ExitCode.OK
-        async with HttpPlatform(self.option('platform'), HostCounters()) as platform:
+        async with open_records(self.option('platform')) as platform:
             for each in declared:
                 name = f'{each.kind.value}/{each.name}'
                 try:
@@ -99,7 +100,12 @@
         return code
 
 
-async def apply_record(platform: HttpPlatform, declared: Declared) -> str:
+def open_records(platform: str) -> HttpRecordStore:
+    """Return the records of the store at an address; entering it connects."""
+    return HttpRecordStore(HttpStore(platform, HostCounters()))
+
+
+async def apply_record(platform: RecordStore, declared: Declared) -> str:
     """Write a record unless it is there already; return what was done.
 
     Raises:
@@ -119,7 +125,7 @@
     return f'written at revision {written}'
 
 
-async def _read_back(platform: HttpPlatform, declared: Declared) -> Revision:
+async def _read_back(platform: RecordStore, declared: Declared) -> Revision:
     """Tell whether a write whose reply was lost took effect."""
     stored = await platform.read(declared.kind.value, declared.name)
     if stored is None or stored.content != declared.content:
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -11,6 +11,7 @@
     CallId,
     DesiredState,
     HostEntry,
+    HostId,
     Registration,
     Revision,
     Route,
@@ -22,6 +23,7 @@
     UpstreamError,
     UpstreamId,
     UpstreamReply,
+    ZoneId,
 )
 from ._ports import ObjectList
 
@@ -160,6 +162,33 @@
     def live_count(self) -> int:
         """Hosts that may be sending work to upstreams, this one included."""
 
+    def live_hosts(self) -> dict[HostId, ZoneId]:
+        """Return the hosts that were heard lately, this one included."""
+
+    def links(self) -> tuple[HostId, ...]:
+        """Return the hosts that this one exchanges pulses with."""
+
+    def announce_leaving(self) -> None:
+        """Tell the other hosts at once that this one is leaving."""
+
+
+class News(Protocol):
+    """The store's news, as this host heard them or peers passed them on."""
+
+    def measure_age(self) -> Seconds:
+        """Return the seconds since the store was heard, here or through peers."""
+
+    def may_rest(self) -> bool:
+        """Whether other hosts wait on the store, and their news arrive here."""
+
+    def take_list(self, kind: StateKind, listing: ObjectList) -> None:
+        """Take a complete listing from the store."""
+
+    def take_changes(
+        self, kind: StateKind, after: Revision, changes: ObjectList
+    ) -> None:
+        """Take changes from the store."""
+
 
 class Lines(Protocol):
     """Connections to upstreams, and the work that waits for one."""
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -1,12 +1,13 @@
 """Names of the services and the protocols behind them."""
 
 from ..kernel import ServiceKey, Topic
-from ..model import Change, HostId, StateChange, UpstreamId
+from ..model import Change, HostId, Pulse, StateChange, UpstreamId
 from ._edges import (
     Directory,
     Entry,
     Fleet,
     Lines,
+    News,
     ObjectStore,
     Placements,
     SharedState,
@@ -63,9 +64,11 @@
 DIRECTORY: ServiceKey[Directory] = ServiceKey('directory')
 FLEET: ServiceKey[Fleet] = ServiceKey('fleet')
 LINES: ServiceKey[Lines] = ServiceKey('lines')
+NEWS: ServiceKey[News] = ServiceKey('news')
 PLACEMENTS: ServiceKey[Placements] = ServiceKey('placements')
 ENTRY: ServiceKey[Entry] = ServiceKey('entry')
 
+PULSE_HEARD: Topic[Pulse] = Topic('pulse heard')
 STATE_CHANGED: Topic[StateChange] = Topic('state changed')
 RECORD_CHANGED: Topic[Change] = Topic('record changed')
 MEMBER_CHANGED: Topic[HostId] = Topic('member changed')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -96,6 +96,10 @@
     UNKNOWN_LIFE,
     Ramp,
 )
+from ._recent import (
+    RecentLatency,
+    choose_hedge_delay,
+)
 from ._rendezvous import (
     rank_hosts,
 )
@@ -122,6 +126,11 @@
     START,
     Throttle,
 )
+from ._topology import (
+    STALE_AGE,
+    choose_followers,
+    choose_links,
+)
 from ._validation import (
     DIGEST_LENGTH,
     MAX_CONNECTIONS,
@@ -164,6 +173,7 @@
     'SELF_FENCE',
     'SHORTEST',
     'SMOOTHING',
+    'STALE_AGE',
     'START',
     'TAIL_RETRIES',
     'UNKNOWN_LATENCY',
@@ -188,6 +198,7 @@
     'Patience',
     'Ramp',
     'RatioBudget',
+    'RecentLatency',
     'Replica',
     'RouteTable',
     'Suspicion',
@@ -200,6 +211,9 @@
     'Work',
     'assign_shards',
     'check_record',
+    'choose_followers',
+    'choose_hedge_delay',
+    'choose_links',
     'choose_owners',
     'choose_patience',
     'choose_quantile',
--- /dev/null
+++ b/src/rattanspoke/decisions/_recent.py
@@ -0,0 +1,57 @@
+"""What a route's calls took lately, and after which silence to ask a second upstream.
+
+Load pattern: a tenth of the upstreams turns many times slower for seconds. The high
+quantiles then follow the slow ones, and a hedge that waited for them would come too
+late; the median does not move, so it caps the wait.
+"""
+
+from bisect import insort
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..model import Seconds
+
+REMEMBERED = 300  # calls of a route, over all upstreams
+ENOUGH = 20  # calls from which quantiles are taken
+MEDIAN = 0.5
+EAGER_QUANTILE = 0.86  # hedged after, while the budget of extra sends is full
+THRIFTY_QUANTILE = 0.97  # hedged after, while it is nearly spent
+EAGER_CAP = 2  # multiples of the median, while the budget is full
+THRIFTY_CAP = 5  # and while it is nearly spent
+
+
+@dataclass(slots=True)
+class RecentLatency:
+    """Quantiles over the last calls of a route."""
+
+    _order: deque[float] = field(default_factory=deque)
+    _sorted: list[float] = field(default_factory=list)
+
+    def record(self, took: Seconds) -> None:
+        """Count a call that brought a whole reply."""
+        self._order.append(took)
+        insort(self._sorted, took)
+        if len(self._order) > REMEMBERED:
+            self._sorted.remove(self._order.popleft())
+
+    def measure(self, quantile: float) -> Seconds | None:
+        """Return a quantile, None while too few calls were seen."""
+        if len(self._sorted) < ENOUGH:
+            return None
+        return Seconds(self._sorted[int(quantile * (len(self._sorted) - 1))])
+
+
+def choose_hedge_delay(recent: RecentLatency, fill: float) -> Seconds | None:
+    """Return the silence after which to hedge, None while too few calls were seen.
+
+    Args:
+        recent: what calls of the route took.
+        fill: what is left of the budget of extra sends, as a fraction.
+    """
+    spent = 1 - max(0, min(1, fill))
+    quantile = EAGER_QUANTILE + (THRIFTY_QUANTILE - EAGER_QUANTILE) * spent
+    usual, late = recent.measure(MEDIAN), recent.measure(quantile)
+    if usual is None or late is None:
+        return None
+    cap = usual * (EAGER_CAP + (THRIFTY_CAP - EAGER_CAP) * spent)
+    return Seconds(min(late, cap))
--- a/src/rattanspoke/decisions/_replicas.py
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -15,6 +15,7 @@
 OTHER_ZONE = 1.25  # cost factor of a replica in another zone; bytes there are dear
 SMOOTHING = 0.25  # weight of the newest sample in the moving average
 FAILURE_SLOWNESS = 8  # a failed call counts like one this many times slower than usual
+LEAST_RATIO = 0.7  # a faster upstream looks no better than this beside an untried one
 FADE_TIME = Seconds(1.5)  # in which an unconfirmed slowness halves towards usual
 SHED_PAUSE = Seconds(0.1)  # after an upstream said that it is full
 FIRST_PAUSE = Seconds(0.25)  # after a failure to connect; it doubles from then on
@@ -91,7 +92,7 @@
         return slowness * (1 + len(self.calls) / self.slots)
 
     def _learn(self, ratio: float, now: Seconds) -> None:
-        self.slowness += SMOOTHING * (ratio - self.slowness)
+        self.slowness += SMOOTHING * (max(ratio, LEAST_RATIO) - self.slowness)
         self.seen = now
 
     def _pause(self, pause: Seconds, now: Seconds) -> None:
--- /dev/null
+++ b/src/rattanspoke/decisions/_topology.py
@@ -0,0 +1,45 @@
+"""Which hosts exchange pulses, and which of them wait on the platform's store.
+
+Pulses go to every host of the own zone and to a few of every other zone, so that their
+number grows with the zone and not with the fleet. Waiting calls to the store are dear
+and bounded; two hosts wait and pass the news on, every other one steps in by itself
+as soon as no news of the store reaches it.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+
+from ..model import HostId, Seconds, ZoneId
+from ._rendezvous import rank_hosts
+
+LINKS_PER_ZONE = 2  # hosts of every other zone that a host exchanges pulses with
+FOLLOWERS = 2  # hosts of the fleet that wait on the store while all is well
+STALE_AGE = Seconds(1.6)  # of the newest word of the store, after which all ask it
+
+
+def rank_by_zone(hosts: Mapping[HostId, ZoneId]) -> dict[ZoneId, list[HostId]]:
+    """Return the hosts of each zone in the order that every host agrees on."""
+    by_zone: dict[ZoneId, list[HostId]] = defaultdict(list)
+    for host, zone in hosts.items():
+        by_zone[zone].append(host)
+    return {zone: rank_hosts(f'links {zone}', each) for zone, each in by_zone.items()}
+
+
+def choose_links(own: ZoneId, hosts: Mapping[HostId, ZoneId]) -> tuple[HostId, ...]:
+    """Return the hosts to exchange pulses with, of the hosts besides this one."""
+    chosen: list[HostId] = []
+    for zone, ranked in rank_by_zone(hosts).items():
+        chosen += ranked if zone == own else ranked[:LINKS_PER_ZONE]
+    return tuple(chosen)
+
+
+def choose_followers(hosts: Mapping[HostId, ZoneId]) -> tuple[HostId, ...]:
+    """Return the hosts that wait on the store, of all hosts that are alive.
+
+    They are links of their zones, so that every host hears of them at once, and of
+    different zones where there are several.
+    """
+    first = [ranked[0] for ranked in rank_by_zone(hosts).values()]
+    second = [ranked[1] for ranked in rank_by_zone(hosts).values() if len(ranked) > 1]
+    ranked = rank_hosts('followers', first) + rank_hosts('followers', second)
+    return tuple(ranked[:FOLLOWERS])
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -82,6 +82,11 @@
     SubReply,
     SubRequest,
 )
+from ._news import (
+    Pulse,
+    StateNews,
+    StatePull,
+)
 from ._policy import (
     Baseline,
     CoverageFirst,
@@ -191,6 +196,7 @@
     'PlatformReplyLost',
     'PlatformUnavailable',
     'Policy',
+    'Pulse',
     'RampReport',
     'RattanspokeError',
     'Reason',
@@ -227,6 +233,8 @@
     'StateChange',
     'StateContent',
     'StateKind',
+    'StateNews',
+    'StatePull',
     'StoredObject',
     'SubReply',
     'SubRequest',
--- a/src/rattanspoke/model/_messages.py
+++ b/src/rattanspoke/model/_messages.py
@@ -19,6 +19,7 @@
     UpstreamId,
     ZoneId,
 )
+from ._news import Pulse, StateNews, StatePull
 from ._records import StoredObject
 from ._states import ClaimState, Outcome, Reason
 
@@ -247,6 +248,9 @@
     | ClaimSettle
     | ClaimReply
     | Acknowledgement
+    | Pulse
+    | StatePull
+    | StateNews
 )
 
 
--- a/src/rattanspoke/platform/_settings.py
+++ b/src/rattanspoke/platform/_settings.py
@@ -18,7 +18,8 @@
         regions: the region of every availability zone.
         callers: the address for callers, as host:port.
         probes: the address for the balancer's readiness probes, as host:port.
-        peer_ports: the first and the last port that are free for peers.
+        host: the address on which peers reach this host, as host:port.
+        seeds: hosts that may be up, by the same kind of address.
         store: the address of the platform's store, as host:port.
         drain_time: seconds within which an upstream that leaves gets nothing more.
         grace: seconds between SIGTERM and SIGKILL.
@@ -32,10 +33,10 @@
     name: str
     zone: ZoneId
     regions: dict[ZoneId, str]
-    address: str
+    host: HostId
+    seeds: tuple[HostId, ...]
     callers: str
     probes: str
-    peer_ports: tuple[int, int]
     store: str
     drain_time: Seconds
     grace: Seconds
@@ -45,11 +46,6 @@
     cold_slack: float
     heartbeat: Seconds
 
-    @property
-    def host(self) -> HostId:
-        """The address on which peers reach this host."""
-        return HostId(f'{self.address}:{self.peer_ports[0]}')
-
 
 def load_host_settings(path: Path) -> HostSettings:
     """Return the settings of a file.
@@ -99,13 +95,9 @@
         """Return a time that the file gives in milliseconds."""
         return Seconds(self.number(name, default) / MILLISECONDS)
 
-    def ports(self, name: str) -> tuple[int, int]:
-        """Return the first and the last of a range of ports."""
-        value = self.text(name)
-        first, _, last = value.partition(',')
-        if not first.isdigit() or not last.isdigit():
-            raise SettingsError(f'{name}: {value!r} is not FIRST,LAST')
-        return int(first), int(last)
+    def addresses(self, name: str) -> tuple[str, ...]:
+        """Return a list of addresses, which may be empty."""
+        return tuple(each for each in self._values.get(name, '').split(',') if each)
 
     def table(self, prefix: str) -> dict[str, str]:
         """Return the values whose names begin with a prefix and a dot."""
@@ -123,10 +115,10 @@
         name=lines.text('node'),
         zone=ZoneId(lines.text('zone')),
         regions={ZoneId(zone): region for zone, region in regions.items()},
-        address=lines.text('ip'),
+        host=HostId(lines.text('listen.control')),
+        seeds=tuple(HostId(each) for each in lines.addresses('seeds')),
         callers=lines.text('listen.front'),
         probes=lines.text('listen.ready'),
-        peer_ports=lines.ports('internalPortRange'),
         store=lines.text('platform.address'),
         drain_time=lines.milliseconds('bounds.drainMs', 3000),
         grace=Seconds(lines.number('bounds.graceS', 6)),
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -65,10 +65,16 @@
 
 
 class HttpStore:
-    """Call the store, and tell lost replies from calls that had no effect."""
+    """Call the store, and tell lost replies from calls that had no effect.
+
+    Args:
+        address: host:port, or a URL without a path.
+        counters: where calls are counted.
+    """
 
     def __init__(self, address: str, counters: Counters) -> None:
-        self._base = f'http://{address}{OBJECTS_PATH}'
+        base = address if '://' in address else f'http://{address}'
+        self._base = f'{base}{OBJECTS_PATH}'
         self._counters = counters
         self._reads: aiohttp.ClientSession | None = None
         self._writes: aiohttp.ClientSession | None = None
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -11,6 +11,7 @@
 from ._lines import UpstreamChannels
 from ._loads import HostLoads
 from ._members import HostMembers
+from ._news import HostNews
 from ._organisations import HostOrganisations
 from ._owner import UpstreamOwner
 from ._peers import PeerLinks
@@ -33,6 +34,7 @@
     'HostLifecycle',
     'HostLoads',
     'HostMembers',
+    'HostNews',
     'HostOrganisations',
     'HostPlacements',
     'HostSearches',
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -1,80 +1,219 @@
-"""The hosts of the tier: this one's entry in the store, and the others'."""
+"""The hosts of the tier: entries in the store, and pulses between hosts."""
 
 import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Self
 
 import structlog
 
-from ..contracts import OBJECT_STORE, STATE_CODEC
+from ..contracts import (
+    IDENTITY,
+    LIFECYCLE,
+    NEWS,
+    OBJECT_STORE,
+    PEERS,
+    PULSE_HEARD,
+    SHARED_STATE,
+    STATE_CODEC,
+    Respond,
+)
+from ..decisions import choose_links
 from ..kernel import Kernel
 from ..model import (
     NO_REVISION,
     HostEntry,
+    HostId,
+    Message,
     PlatformConflict,
     PlatformError,
+    Pulse,
     RecordError,
     Seconds,
+    StateKind,
+    StoredObject,
+    WorkError,
+    ZoneId,
 )
-from ._tasks import TaskOwner
+from ._tasks import TaskOwner, read_clock
 
 HOST_KIND = 'hosts'
-RETRY_DELAY = Seconds(0.5)  # between attempts to register while the store fails
-LIST_INTERVAL = Seconds(5)
+REGISTER_DELAY = Seconds(0.5)  # between attempts while the store fails
+PULSE_INTERVAL = Seconds(0.4)
+SILENT_AFTER = Seconds(1.5)  # three pulses missed and one on its way
+# A host that was not heard for this long uses no more connections or extra sends.
+GONE_AFTER = Seconds(30)
+TOLD_OTHERS = 8  # hosts named in a pulse, by which a new host learns of the rest
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What is known of another host; heard is None until it first spoke."""
+
+    zone: ZoneId
+    added: float
+    heard: float | None = None
+    is_leaving: bool = False
+    is_up: bool = False
 
 
 class HostFleet(TaskOwner):
-    """Register this host, and count those that may be sending work."""
+    """Register this host, exchange pulses, and count who may be sending work."""
 
-    def __init__(self, kernel: Kernel, entry: HostEntry) -> None:
+    def __init__(
+        self, kernel: Kernel, entry: HostEntry, seeds: Iterable[HostId]
+    ) -> None:
         super().__init__()
+        self._kernel = kernel
+        self._identity = kernel.find(IDENTITY)
         self._store = kernel.find(OBJECT_STORE)
         self._codec = kernel.find(STATE_CODEC)
+        self._peers = kernel.find(PEERS)
+        self._state = kernel.find(SHARED_STATE)
+        self._lifecycle = kernel.find(LIFECYCLE)
         self._entry = entry
-        self._entries: dict[str, HostEntry] = {entry.name: entry}
+        self._seeds = tuple(seeds)
+        self._others: dict[HostId, _Peer] = {}
         self._log = structlog.get_logger()
 
     @property
     def live_count(self) -> int:
         """Hosts that may be sending work to upstreams, this one included."""
-        return len(self._entries)
+        return 1 + len(self._others)
+
+    def live_hosts(self) -> dict[HostId, ZoneId]:
+        """Return the hosts that were heard lately, this one included."""
+        now = read_clock()
+        live = {self._identity.host: self._identity.zone}
+        for host, peer in self._others.items():
+            if self._is_live(peer, now) and not peer.is_leaving:
+                live[host] = peer.zone
+        return live
+
+    def links(self) -> tuple[HostId, ...]:
+        """Return the hosts that this one exchanges pulses with."""
+        known = {host: peer.zone for host, peer in self._others.items()}
+        return choose_links(self._identity.zone, known)
 
     async def __aenter__(self) -> Self:
-        self._tasks.spawn(self._run())
+        self._peers.serve_now(Pulse, self._take_pulse)
+        for seed in self._seeds:
+            self._call(seed)
+        self._tasks.spawn(self._register())
+        self._tasks.spawn(self._send_pulses())
         return self
 
-    async def _run(self) -> None:
-        is_registered = False
+    def announce_leaving(self) -> None:
+        """Tell the other hosts at once that this one is leaving."""
+        for host in self.links():
+            self._call(host)
+
+    async def _send_pulses(self) -> None:
+        while True:
+            await asyncio.sleep(PULSE_INTERVAL)
+            now = read_clock()
+            for host in self.links():
+                heard = self._others[host].heard
+                if heard is None or now - heard > PULSE_INTERVAL / 2:
+                    self._call(host)
+            self._note_silence(now)
+
+    def _call(self, host: HostId) -> None:
+        def note(reply: Message | WorkError) -> None:
+            if isinstance(reply, Pulse):
+                self._note_pulse(reply)
+
+        if host != self._identity.host:
+            self._peers.post(host, self._make_pulse(), note)
+
+    def _make_pulse(self) -> Pulse:
+        others = tuple(
+            (host, peer.zone) for host, peer in self._others.items() if peer.is_up
+        )
+        return Pulse(
+            host=self._identity.host,
+            zone=self._identity.zone,
+            revisions={kind: self._state.revision(kind) for kind in StateKind},
+            store_age=self._kernel.find(NEWS).measure_age(),
+            is_leaving=self._lifecycle.is_leaving,
+            others=others[:TOLD_OTHERS],
+        )
+
+    def _take_pulse(self, pulse: Pulse, sender: HostId, respond: Respond) -> None:
+        respond(self._make_pulse())
+        self._note_pulse(pulse)
+
+    def _note_pulse(self, pulse: Pulse) -> None:
+        peer = self._add(pulse.host, pulse.zone)
+        if not peer.is_up:
+            self._log.info('host heard', peer=pulse.host, zone=pulse.zone)
+        peer.heard = read_clock()
+        peer.is_up = True
+        peer.is_leaving = pulse.is_leaving
+        for host, zone in pulse.others:
+            if host != self._identity.host:
+                self._add(host, zone)
+        self._kernel.bus.announce(PULSE_HEARD, pulse)
+
+    def _add(self, host: HostId, zone: ZoneId) -> _Peer:
+        if host not in self._others:
+            self._others[host] = _Peer(zone, read_clock())
+        return self._others[host]
+
+    def _is_live(self, peer: _Peer, now: float) -> bool:
+        return peer.heard is not None and now - peer.heard <= SILENT_AFTER
+
+    def _note_silence(self, now: float) -> None:
+        for host, peer in tuple(self._others.items()):
+            if peer.is_up and not self._is_live(peer, now):
+                peer.is_up = False
+                self._log.warning('host silent', peer=host, heard=peer.heard)
+            if now - (peer.heard or peer.added) > GONE_AFTER:
+                del self._others[host]
+                self._log.warning('host gone', peer=host)
+                self._tasks.spawn(self._remove_entry(host))
+
+    async def _register(self) -> None:
+        """Write this host's entry, then learn of the hosts that wrote theirs before."""
         while True:
             try:
-                if not is_registered:
-                    await self._register()
-                    is_registered = True
-                await self._list()
+                await self._write_entry()
+                listing = await self._store.list_kind(HOST_KIND)
             except PlatformError as error:
-                self._log.warning('hosts not listed', reason=str(error))
-                await asyncio.sleep(RETRY_DELAY)
-            else:
-                await asyncio.sleep(LIST_INTERVAL)
+                self._log.warning('host not registered', reason=str(error))
+                await asyncio.sleep(REGISTER_DELAY)
+                continue
+            for stored in listing.objects:
+                self._take_entry(stored)
+            return
 
-    async def _register(self) -> None:
+    async def _write_entry(self) -> None:
         content = self._codec.encode_host(self._entry)
+        stored = await self._store.read(HOST_KIND, self._entry.name)
+        if stored is None or stored.content != content:
+            revision = NO_REVISION if stored is None else stored.revision
+            await self._store.write(HOST_KIND, self._entry.name, content, revision)
+
+    def _take_entry(self, stored: StoredObject) -> None:
+        try:
+            entry = self._codec.decode_host(stored)
+        except RecordError as error:
+            self._log.warning(
+                'host entry not readable', name=stored.name, reason=str(error)
+            )
+            return
+        if entry.host != self._identity.host:
+            self._add(entry.host, entry.zone)
+            self._call(entry.host)
+
+    async def _remove_entry(self, host: HostId) -> None:
+        """Delete the entry of a host that is gone; if it lives, it writes it again."""
         try:
-            await self._store.write(HOST_KIND, self._entry.name, content, NO_REVISION)
+            listing = await self._store.list_kind(HOST_KIND)
+            for stored in listing.objects:
+                if self._codec.decode_host(stored).host == host:
+                    await self._store.delete(HOST_KIND, stored.name, stored.revision)
         except PlatformConflict:
-            stored = await self._store.read(HOST_KIND, self._entry.name)
-            if stored is not None and stored.content != content:
-                await self._store.write(
-                    HOST_KIND, self._entry.name, content, stored.revision
-                )
-
-    async def _list(self) -> None:
-        listing = await self._store.list_kind(HOST_KIND)
-        entries = {self._entry.name: self._entry}
-        for stored in listing.objects:
-            try:
-                entry = self._codec.decode_host(stored)
-            except RecordError as error:
-                self._log.warning('host entry not readable', reason=str(error))
-                continue
-            entries[entry.name] = entry
-        self._entries = entries
+            return  # another host was first
+        except (PlatformError, RecordError) as error:
+            self._log.warning('host entry not removed', peer=host, reason=str(error))
--- a/src/rattanspoke/services/_follower.py
+++ b/src/rattanspoke/services/_follower.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from ..contracts import COUNTERS, OBJECT_STORE, SHARED_STATE, Metric
+from ..contracts import COUNTERS, NEWS, OBJECT_STORE, SHARED_STATE, Metric
 from ..kernel import Kernel
 from ..model import (
     NO_REVISION,
@@ -21,6 +21,7 @@
 # call's own limit this stays within the 3 s in which changes are to be in force.
 WATCH_WAIT = Seconds(1.2)
 FIRST_BACKOFF = Seconds(0.1)
+REST_INTERVAL = Seconds(0.2)  # between looks at whether others still follow
 LONGEST_BACKOFF = Seconds(0.8)  # a return of the store is seen within a second
 
 
@@ -31,6 +32,7 @@
         super().__init__()
         self._store = kernel.find(OBJECT_STORE)
         self._state = kernel.find(SHARED_STATE)
+        self._news = kernel.find(NEWS)
         self._counters = kernel.find(COUNTERS)
         self._random = random.Random(seed)
         self._log = structlog.get_logger()
@@ -44,6 +46,9 @@
     async def _follow(self, kind: StateKind) -> None:
         backoff = FIRST_BACKOFF
         while True:
+            if self._news.may_rest():
+                await asyncio.sleep(REST_INTERVAL)
+                continue
             try:
                 await self._read_once(kind)
             except PlatformError as error:
@@ -57,14 +62,14 @@
     async def _read_once(self, kind: StateKind) -> None:
         known = self._state.revision(kind)
         if known == NO_REVISION:
-            self._state.adopt_list(kind, await self._store.list_kind(kind.value))
+            self._news.take_list(kind, await self._store.list_kind(kind.value))
             return
         try:
             changes = await self._store.watch_kind(kind.value, known, WATCH_WAIT)
         except PlatformHistoryGone:
-            self._state.adopt_list(kind, await self._store.list_kind(kind.value))
+            self._news.take_list(kind, await self._store.list_kind(kind.value))
             return
-        self._state.adopt_changes(kind, known, changes)
+        self._news.take_changes(kind, known, changes)
 
     def _note_failure(self, kind: StateKind, error: PlatformError) -> None:
         self._counters.add(Metric.PLATFORM_FAILURES, kind.value)
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 from ..contracts import Counters, Lines, Metric, Placements
 from ..model import (
     CallerRequest,
+    CallId,
     Outcome,
     Reason,
     Registration,
@@ -18,6 +20,8 @@
 )
 from ._tasks import Tasks, read_clock
 
+Attempt: TypeAlias = 'asyncio.Task[UpstreamReply | UpstreamError]'
+
 
 @dataclass(frozen=True, slots=True)
 class PartResult:
@@ -58,9 +62,7 @@
     tasks: Tasks
     _tried: set[UpstreamId] = field(default_factory=set)
     _attempts: int = 0
-    _running: dict[asyncio.Task[UpstreamReply], UpstreamId] = field(
-        default_factory=dict
-    )
+    _running: dict[Attempt, UpstreamId] = field(default_factory=dict)
     _failed: UpstreamReply | None = None
     _is_released: bool = False
     _outcome: Outcome = Outcome.NOT_RUN
@@ -73,9 +75,11 @@
         try:
             while self._running:
                 ended = await self._await_reply()
-                success = next(filter(self._take, ended), None)
+                replies = [self._take(attempt) for attempt in ended]
+                success = next(filter(None, replies), None)
                 if success is not None:
-                    return self._finish(success.result())
+                    # A slower attempt ends by itself and is learned from.
+                    return PartResult(self.service, success, Outcome.RAN, Reason.NONE)
                 if not ended or self._may_retry():
                     self._send_extra(Metric.RETRIES if ended else Metric.HEDGES)
         except asyncio.CancelledError:
@@ -90,7 +94,7 @@
         """
         self._is_released = True
 
-    async def _await_reply(self) -> set[asyncio.Task[UpstreamReply]]:
+    async def _await_reply(self) -> set[Attempt]:
         """Return the attempts that ended; none when it is time for a hedge."""
         limit = self._hedge_wait() if self._may_hedge() else None
         ended, _ = await asyncio.wait(
@@ -134,38 +138,43 @@
     def _start(self, target: Registration) -> None:
         self._tried.add(target.upstream)
         self._attempts += 1
-        attempt = self.tasks.spawn(self._attempt(target))
+        # Counted before the task runs, so that requests of one moment spread out.
+        call = self.placements.note_sent(target)
+        attempt = self.tasks.spawn(self._attempt(target, call))
+        attempt.add_done_callback(lambda ended: self._note_dropped(ended, target, call))
         self._running[attempt] = target.upstream
 
-    async def _attempt(self, target: Registration) -> UpstreamReply:
-        call = self.placements.note_sent(target)
+    async def _attempt(
+        self, target: Registration, call: CallId
+    ) -> UpstreamReply | UpstreamError:
         try:
             reply = await self.lines.send(self.request, self.route, target)
         except UpstreamError as error:
             self.placements.note_failure(target, call, self.route, error)
-            raise
-        except asyncio.CancelledError:
-            self.placements.note_dropped(target, call, self.route)
-            raise
+            return error
         self.placements.note_reply(target, call, self.route, reply)
         return reply
 
-    def _take(self, attempt: asyncio.Task[UpstreamReply]) -> bool:
-        """Note how an attempt ended; True when it is the result."""
+    def _note_dropped(
+        self, attempt: Attempt, target: Registration, call: CallId
+    ) -> None:
+        if attempt.cancelled():
+            self.placements.note_dropped(target, call, self.route)
+
+    def _take(self, attempt: Attempt) -> UpstreamReply | None:
+        """Note how an attempt ended; return its reply when that is a success."""
         del self._running[attempt]
-        error = attempt.exception()
-        if isinstance(error, UpstreamError):
-            self._note_failed(error.outcome, error.reason)
-            return False
-        if error is not None:
-            raise error
-        reply = attempt.result()
-        if reply.is_success:
-            return True
-        if reply.outcome is Outcome.RAN:
-            self._failed = reply
-        self._note_failed(reply.outcome, Reason.UPSTREAM_FAILED)
-        return False
+        match attempt.result():
+            case UpstreamError(outcome=outcome, reason=reason):
+                self._note_failed(outcome, reason)
+                return None
+            case UpstreamReply(is_success=True) as reply:
+                return reply
+            case reply:
+                if reply.outcome is Outcome.RAN:
+                    self._failed = reply
+                self._note_failed(reply.outcome, Reason.UPSTREAM_FAILED)
+                return None
 
     def _note_failed(self, outcome: Outcome, reason: Reason) -> None:
         if reason is Reason.UPSTREAM_UNREACHABLE:
@@ -174,19 +183,6 @@
             self._outcome = outcome
         self._reason = reason
 
-    def _finish(self, reply: UpstreamReply) -> PartResult:
-        """Return the success; a slower attempt ends by itself and is learned from."""
-        for attempt in self._running:
-            attempt.add_done_callback(_ignore_outcome)
-        return PartResult(self.service, reply, Outcome.RAN, Reason.NONE)
-
     def _cancel_all(self) -> None:
         for attempt in self._running:
-            attempt.add_done_callback(_ignore_outcome)
             attempt.cancel()
-
-
-def _ignore_outcome(attempt: asyncio.Task[UpstreamReply]) -> None:
-    """Retrieve the error of an attempt whose part has ended."""
-    if not attempt.cancelled():
-        attempt.exception()
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -12,10 +12,10 @@
 )
 from ..decisions import (
     Failure,
-    LatencyWindow,
     RatioBudget,
+    RecentLatency,
     Replica,
-    choose_quantile,
+    choose_hedge_delay,
     choose_replica,
     first_hedge,
     make_extra_budget,
@@ -39,7 +39,6 @@
 )
 from ._tasks import read_clock
 
-HEDGE_QUANTILE = 0.88  # of a route's latency; the budget allows 17 sends in a hundred
 USUAL_QUANTILE = 0.5
 LEAST_USUAL = Seconds(0.002)
 USUAL_PART = 0.15  # of the objective that a call usually takes, while none was seen
@@ -54,7 +53,7 @@
         self._fleet = kernel.find(FLEET)
         self._rule = rule
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
-        self._windows: dict[RouteId, LatencyWindow] = {}
+        self._latencies: dict[RouteId, RecentLatency] = {}
         self._budgets: dict[ServiceId, RatioBudget] = {}
         self._numbers = count(1)
         kernel.bus.subscribe(STATE_CHANGED, self._forget_gone)
@@ -70,7 +69,7 @@
             if target.upstream not in tried
         }
         replicas = [self._find(target) for target in targets.values()]
-        usual = self._usual(route, now)
+        usual = self._usual(route)
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
 
@@ -83,8 +82,8 @@
 
     def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
         """Return the seconds without a reply after which to ask a second upstream."""
-        quantile = choose_quantile(HEDGE_QUANTILE, self._budget(service).fill)
-        learned = self._window(route).measure(quantile, Seconds(read_clock()))
+        fill = self._budget(service).fill
+        learned = choose_hedge_delay(self._recent(route), fill)
         return first_hedge(route.objective) if learned is None else learned
 
     def count_request(self, service: ServiceId) -> None:
@@ -108,8 +107,8 @@
         now = Seconds(read_clock())
         replica, took = self._end(target, call, now)
         if reply.is_success:
-            usual = self._usual(route, now)
-            self._window(route).record(took, now)
+            usual = self._usual(route)
+            self._recent(route).record(took)
             replica.note_success(took / usual, now)
         elif reply.is_foreign:
             replica.note_failure(Failure.FOREIGN, now)
@@ -132,7 +131,7 @@
         """Learn from a request whose reply nobody waits for any more."""
         now = Seconds(read_clock())
         replica, lasted = self._end(target, call, now)
-        ratio = lasted / self._usual(route, now)
+        ratio = lasted / self._usual(route)
         if ratio > replica.slowness:
             replica.note_slow(ratio, now)
 
@@ -151,11 +150,11 @@
             self._replicas[target.upstream] = known
         return known[1]
 
-    def _window(self, route: Route) -> LatencyWindow:
-        return self._windows.setdefault(route.route, LatencyWindow())
+    def _recent(self, route: Route) -> RecentLatency:
+        return self._latencies.setdefault(route.route, RecentLatency())
 
-    def _usual(self, route: Route, now: Seconds) -> Seconds:
-        learned = self._window(route).measure(USUAL_QUANTILE, now)
+    def _usual(self, route: Route) -> Seconds:
+        learned = self._recent(route).measure(USUAL_QUANTILE)
         if learned is None:
             return Seconds(max(LEAST_USUAL, route.objective * USUAL_PART))
         return Seconds(max(LEAST_USUAL, learned))
--- a/src/rattanspoke/standins/__init__.py
+++ b/src/rattanspoke/standins/__init__.py
@@ -17,7 +17,9 @@
     organisation_token,
     zone_name,
 )
-from ._servers import HttpServer, PlatformServer, UpstreamServer
+from ._servers import UpstreamServer
+from ._serving import HttpServer
+from ._store_server import PlatformServer
 from ._upstream import POISON, Behaviour, StandinUpstream, Tally
 
 __all__ = (
--- /dev/null
+++ b/tests/edges.py
@@ -0,0 +1,328 @@
+"""Hosts on the users' platform in one process: real services, stand-ins, virtual time."""
+
+import asyncio
+from collections import defaultdict
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from itertools import count
+from types import TracebackType
+from typing import Self
+
+import msgspec
+
+from rattanspoke._edge import EdgePorts, EdgeRules, assemble_edge
+from rattanspoke.contracts import ENTRY, BudgetRule, Identity
+from rattanspoke.kernel import Kernel
+from rattanspoke.model import (
+    CallerRequest,
+    HostEntry,
+    HostId,
+    Incarnation,
+    Outcome,
+    PlatformUnavailable,
+    Reason,
+    RequestId,
+    Seal,
+    Seconds,
+    UpstreamError,
+    UpstreamReply,
+    ZoneId,
+)
+from rattanspoke.platform import StateForms
+from rattanspoke.services import HostCounters, HostTimeline
+from rattanspoke.standins import LocalNetwork, LocalTransport, StandinPlatform
+
+ZONES = ('east', 'west', 'south')
+CONNECT_TIME = 0.006
+SETTLE = 2  # seconds until hosts have read the store and heard each other
+
+
+@dataclass
+class FakeUpstream:
+    """An upstream that counts what reaches it and behaves as it is told.
+
+    `work` is what a request takes; `pause_until` delays every reply until then.
+    """
+
+    name: str
+    service: str
+    zone: str
+    address: str
+    slots: int = 4
+    work: float = 0.02
+    pause_until: float = 0
+    is_dark: bool = False
+    is_down: bool = False
+    sheds: bool = False
+    fails: bool = False
+    breaks: bool = False
+    body: bytes = b'0123456789abcdef'
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    budgets: list[float] = field(default_factory=list)
+    broken_off: int = 0
+    running: int = 0
+    open_lines: int = 0
+
+    def register(self, **changes: object) -> bytes:
+        """Return the entry that the upstream writes of itself."""
+        form = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': 'ready',
+            'warmupLeftMs': 0,
+            'sequence': 1,
+        }
+        return msgspec.json.encode(form | changes)
+
+
+class FakeLine:
+    """A connection to a fake upstream."""
+
+    kept_for = None
+
+    def __init__(self, upstream: FakeUpstream) -> None:
+        self._upstream = upstream
+        self._is_open = True
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return self._is_open and not self._upstream.is_down
+
+    async def exchange(self, request, upstream, budget):
+        """Behave as the upstream is told to."""
+        server = self._upstream
+        loop = asyncio.get_running_loop()
+        server.arrivals.append((loop.time(), request.attempt))
+        server.budgets.append(budget)
+        if server.sheds:
+            return self._reply(503, Outcome.NOT_RUN)
+        server.running += 1
+        try:
+            async with asyncio.timeout(budget):
+                await self._work(loop)
+        except TimeoutError as error:
+            self._is_open = False
+            raise UpstreamError(Reason.DEADLINE, Outcome.UNKNOWN) from error
+        except asyncio.CancelledError:
+            server.broken_off += 1
+            raise
+        finally:
+            server.running -= 1
+        if server.breaks:
+            self._is_open = False
+            raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
+        return self._reply(500 if server.fails else 200, Outcome.RAN)
+
+    def abort(self) -> None:
+        """Break the connection off."""
+        self._is_open = False
+        if self._upstream.running:
+            self._upstream.broken_off += 1
+
+    async def _work(self, loop) -> None:
+        server = self._upstream
+        if server.is_dark:
+            await asyncio.Event().wait()
+        await asyncio.sleep(max(server.work, server.pause_until - loop.time()))
+
+    def _reply(self, status, outcome):
+        server = self._upstream
+        return UpstreamReply(
+            upstream=server.name,
+            status=status,
+            headers=(),
+            body=server.body,
+            outcome=outcome,
+            seal=Seal(f'{server.name}.{len(server.arrivals)}'),
+        )
+
+    async def __aenter__(self) -> Self:
+        self._upstream.open_lines += 1
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._upstream.open_lines -= 1
+        self._is_open = False
+
+
+class FakeLines:
+    """Opens connections to fake upstreams by their address."""
+
+    def __init__(self, upstreams: dict[str, FakeUpstream]) -> None:
+        self._upstreams = upstreams
+
+    async def open(self, address, limit):
+        """Return a connection; a dark upstream lets the limit pass."""
+        server = self._upstreams[address]
+        if server.is_dark:
+            await asyncio.sleep(limit)
+        else:
+            await asyncio.sleep(CONNECT_TIME)
+        if server.is_down or server.is_dark:
+            raise UpstreamError(Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN)
+        return FakeLine(server)
+
+
+class CutStore:
+    """A host's way to the store, which can be cut for it alone."""
+
+    def __init__(self, store: StandinPlatform) -> None:
+        self._store = store
+        self.is_cut = False
+
+    def __getattr__(self, name):
+        method = getattr(self._store, name)
+
+        async def call(*words):
+            if self.is_cut:
+                await asyncio.sleep(0.1)
+                raise PlatformUnavailable('cut')
+            return await method(*words)
+
+        return call
+
+
+@dataclass
+class Edge:
+    """Hosts of the tier with fake upstreams and one store."""
+
+    hosts: int = 3
+    extra: BudgetRule = BudgetRule(0.2, 52)
+    store: StandinPlatform = field(default_factory=StandinPlatform)
+    network: LocalNetwork = field(default_factory=LocalNetwork)
+    kernels: dict[HostId, Kernel] = field(default_factory=dict)
+    stores: dict[HostId, CutStore] = field(default_factory=dict)
+    upstreams: dict[str, FakeUpstream] = field(default_factory=dict)
+    by_service: dict[str, list[FakeUpstream]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def __post_init__(self) -> None:
+        self._stacks: dict[HostId, AsyncExitStack] = {}
+        self._attempts = count(1)
+        self._version = 0
+
+    async def __aenter__(self) -> Self:
+        for number in range(self.hosts):
+            await self.start(f'host-{number}', ZONES[number % len(ZONES)])
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for host in list(self._stacks):
+            await self.stop(host)
+
+    async def start(self, host, zone, seeds=()) -> Kernel:
+        """Start a host and return its kernel."""
+        host, zone = HostId(host), ZoneId(zone)
+        identity = Identity(host, Incarnation(f'{host}/{len(self.kernels)}'), zone)
+        self.stores[host] = CutStore(self.store)
+        transport = LocalTransport(self.network, host)
+        ports = EdgePorts(
+            counters=HostCounters(),
+            store=self.stores[host],
+            codec=StateForms(),
+            upstream_lines=FakeLines(self.upstreams),
+            peer_transport=transport,
+            timeline=HostTimeline(identity),
+        )
+        entry = HostEntry(name=host, host=host, zone=zone)
+        rules = EdgeRules(extra=self.extra, seeds=tuple(map(HostId, seeds)))
+        kernel = assemble_edge(identity, entry, ports, rules, seed=7)
+        stack = AsyncExitStack()
+        await stack.enter_async_context(kernel)
+        transport.listen()
+        self._stacks[host] = stack
+        self.kernels[host] = kernel
+        return kernel
+
+    async def stop(self, host) -> None:
+        """End a host."""
+        await self._stacks.pop(host).aclose()
+        self.network.kill(host)
+        del self.kernels[host]
+
+    def add_service(self, service, replicas=3, **behaviour) -> None:
+        """Register upstreams of a service, one in each zone in turn."""
+        for number in range(replicas):
+            name = f'{service}-{number}'
+            upstream = FakeUpstream(
+                name, service, ZONES[number % len(ZONES)], f'{name}:80', **behaviour
+            )
+            self.upstreams[upstream.address] = upstream
+            self.by_service[service].append(upstream)
+            self.store.put('registrations', name, upstream.register())
+
+    def configure(self, *routes, services=(), **traits) -> int:
+        """Write a desired state and return its version."""
+        self._version += 3
+        names = services or sorted(self.by_service)
+        form = {
+            'version': self._version,
+            'routes': list(routes),
+            'services': [
+                {'name': name, 'maxConnections': 35, **traits} for name in names
+            ],
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 262144,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15000,
+            },
+        }
+        self.store.put('desired state', 'main', msgspec.json.encode(form))
+        return self._version
+
+    def ask(self, host, path='/one/x', limit=1.5, method='GET'):
+        """Send a caller's request to a host."""
+        now = asyncio.get_running_loop().time()
+        request = CallerRequest(
+            attempt=RequestId(f'attempt-{next(self._attempts)}'),
+            method=method,
+            target=path,
+            authority='jobs.example',
+            headers=(),
+            body=b'',
+            deadline=Seconds(now + limit),
+            arrived=Seconds(now),
+        )
+        return self.kernels[HostId(host)].find(ENTRY).serve(request)
+
+
+def one_route(service, prefix='/one/', **changes):
+    """Return the form of a route to one service."""
+    form = {
+        'name': f'to {service} {prefix}',
+        'host': 'jobs.example',
+        'pathPrefix': prefix,
+        'service': service,
+        'routeType': 'idempotent',
+        'timeoutMs': 1500,
+        'targetLatencyMs': 600,
+        'maxAttempts': 2,
+    }
+    return form | changes
+
+
+def shard_route(services, prefix='/all/', **changes):
+    """Return the form of a route to all shards."""
+    form = one_route('', prefix) | {
+        'fanoutServices': list(services),
+        'topK': 5,
+        'minimum': 0.75,
+        'targetLatencyMs': 180,
+    }
+    return form | changes
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,387 @@
+"""Hosts on the users' platform: routes, parts, answers and refusals."""
+
+import asyncio
+
+import pytest
+
+from rattanspoke.contracts import FLEET, NEWS, SHARED_STATE
+from rattanspoke.model import (
+    Failed,
+    Merged,
+    Outcome,
+    Reason,
+    Refused,
+    Rejected,
+    Relayed,
+)
+
+from .edges import SETTLE, Edge, one_route, shard_route
+
+SHARDS = tuple(f'shard-{number}' for number in range(10))
+
+
+def add_shards(edge, **behaviour):
+    """Register three replicas of every shard."""
+    for shard in SHARDS:
+        edge.add_service(shard, **behaviour)
+
+
+def test_request_goes_to_the_longest_prefix(run):
+    """The route with the longest prefix wins; a path of no route is rejected."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('wide')
+            edge.add_service('narrow')
+            edge.configure(one_route('wide', '/a/'), one_route('narrow', '/a/b/'))
+            await asyncio.sleep(SETTLE)
+            wide = await edge.ask('host-0', '/a/x')
+            narrow = await edge.ask('host-0', '/a/b/x?q=1')
+            nowhere = await edge.ask('host-0', '/c/')
+            assert wide.reply.upstream.startswith('wide')
+            assert narrow.reply.upstream.startswith('narrow')
+            assert nowhere == Rejected(Reason.UNKNOWN_ROUTE)
+
+    run(scene())
+
+
+def test_host_without_desired_state_refuses(run):
+    """While no desired state is known nothing is rejected, only refused as not run."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            answer = await edge.ask('host-0')
+            assert isinstance(answer, Refused)
+            assert answer.reason is Reason.NO_DESIRED_STATE
+            assert not edge.kernels['host-0'].find(SHARED_STATE).is_complete
+
+    run(scene())
+
+
+def test_answer_holds_the_greatest_records_of_all_shards(run):
+    """Records of every shard are merged, equal ones all count, in falling order."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge)
+            for number, shard in enumerate(SHARDS):
+                record = bytes([number // 2]) * 16
+                for upstream in edge.by_service[shard]:
+                    upstream.body = record + b'rest'
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            answer = await edge.ask('host-0', '/all/x')
+            assert isinstance(answer, Merged)
+            assert answer.missing == 0
+            assert len(set(answer.seals)) == len(SHARDS)
+            records = [bytes([number]) * 16 for number in (4, 4, 3, 3, 2)]
+            assert answer.body == b''.join(records)
+
+    run(scene())
+
+
+def test_paused_replicas_are_hedged_in_time(run):
+    """A replica that pauses for longer than the objective does not make it late."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge)
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            loop = asyncio.get_running_loop()
+            for shard in SHARDS[:3]:
+                edge.by_service[shard][0].pause_until = loop.time() + 0.5
+            began = loop.time()
+            answer = await edge.ask('host-0', '/all/x')
+            assert answer.missing == 0
+            assert loop.time() - began < 0.15
+
+    run(scene())
+
+
+def test_silent_shard_is_left_out_at_the_objective(run):
+    """With enough shards in, the answer goes out before the objective passes."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge)
+            for upstream in edge.by_service[SHARDS[0]]:
+                upstream.is_dark = True
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            began = asyncio.get_running_loop().time()
+            answer = await edge.ask('host-0', '/all/x')
+            took = asyncio.get_running_loop().time() - began
+            assert answer.missing == 1
+            assert len(answer.seals) == len(SHARDS) - 1
+            assert 0.15 < took < 0.18
+
+    run(scene())
+
+
+def test_too_few_shards_are_no_success(run):
+    """Below the least coverage the caller is told so and gets no partial answer."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge)
+            for shard in SHARDS[:5]:
+                for upstream in edge.by_service[shard]:
+                    upstream.fails = True
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            assert await edge.ask('host-0', '/all/x') == Failed(Reason.LOW_COVERAGE)
+
+    run(scene())
+
+
+@pytest.mark.parametrize('kind', ['idempotent', 'non_idempotent'])
+def test_broken_reply_is_repeated_only_where_that_is_safe(run, kind):
+    """A reply that broke off may have run: only idempotent requests are sent again."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one')
+            for upstream in edge.by_service['one']:
+                upstream.breaks = True
+            edge.configure(one_route('one', routeType=kind))
+            await asyncio.sleep(SETTLE)
+            answer = await edge.ask('host-0')
+            assert answer == Failed(Reason.REPLY_BROKEN)
+            sends = sum(len(each.arrivals) for each in edge.by_service['one'])
+            assert sends == (2 if kind == 'idempotent' else 1)
+
+    run(scene())
+
+
+def test_shed_request_that_must_not_run_twice_is_sent_on(run):
+    """What an upstream surely did not run goes to another, within the attempts."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one')
+            edge.by_service['one'][0].sheds = True
+            edge.configure(one_route('one', routeType='non_idempotent'))
+            await asyncio.sleep(SETTLE)
+            for _ in range(5):
+                answer = await edge.ask('host-0')
+                assert isinstance(answer, Relayed)
+                assert answer.reply.outcome is Outcome.RAN
+
+    run(scene())
+
+
+def test_refusal_tells_when_to_come_back(run):
+    """With every upstream unreachable the request is refused as not run, at once."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', is_down=True)
+            edge.configure(one_route('one', routeType='non_idempotent'))
+            await asyncio.sleep(SETTLE)
+            for _ in range(4):
+                began = asyncio.get_running_loop().time()
+                answer = await edge.ask('host-0')
+                assert isinstance(answer, Refused)
+                assert answer.retry_after > 0
+                assert asyncio.get_running_loop().time() - began < 0.1
+
+    run(scene())
+
+
+def test_attempts_stay_within_the_route(run):
+    """Hedges and retries together never reach more upstreams than the route allows."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', replicas=6, work=0.3)
+            edge.configure(one_route('one', maxAttempts=1))
+            await asyncio.sleep(SETTLE)
+            await asyncio.gather(*(edge.ask('host-0') for _ in range(10)))
+            sends = sum(len(each.arrivals) for each in edge.by_service['one'])
+            assert sends == 10
+
+    run(scene())
+
+
+def test_extra_sends_stay_within_the_budget(run):
+    """With every upstream slow, hosts together keep to the ratio and the slack."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', replicas=9, slots=50, work=0.02)
+            edge.configure(one_route('one', maxAttempts=3), maxConnections=500)
+            await asyncio.sleep(SETTLE)
+            for _ in range(100):
+                await edge.ask('host-0')
+            for upstream in edge.by_service['one']:
+                upstream.work = 0.4
+                upstream.arrivals.clear()
+            asked = 900
+            waiting = []
+            for number in range(asked):
+                waiting.append(
+                    asyncio.ensure_future(edge.ask(f'host-{number % 3}', limit=5))
+                )
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*waiting)
+            sends = sum(len(each.arrivals) for each in edge.by_service['one'])
+            assert sends - asked <= 0.2 * asked + 52
+
+    run(scene())
+
+
+def test_caller_that_leaves_cancels_the_work(run):
+    """When a request is cancelled the upstreams' work is broken off."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge, work=0.5)
+            edge.configure(shard_route(SHARDS, targetLatencyMs=1000))
+            await asyncio.sleep(SETTLE)
+            asking = asyncio.ensure_future(edge.ask('host-0', '/all/x'))
+            await asyncio.sleep(0.05)
+            asking.cancel()
+            await asyncio.sleep(0.1)
+            running = [each.name for each in edge.upstreams.values() if each.running]
+            broken = sum(each.broken_off for each in edge.upstreams.values())
+            assert broken == len(SHARDS), running
+
+    run(scene())
+
+
+def test_split_is_exact(run):
+    """Any run of requests is spread over a split within one request of its weights."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('old')
+            edge.add_service('new')
+            split = [
+                {'service': 'old', 'weight': 3},
+                {'service': 'new', 'weight': 1},
+            ]
+            edge.configure(one_route('', trafficSplit=split, maxAttempts=1))
+            await asyncio.sleep(SETTLE)
+            await asyncio.gather(*(edge.ask('host-0') for _ in range(40)))
+            sends = {
+                service: sum(len(each.arrivals) for each in upstreams)
+                for service, upstreams in edge.by_service.items()
+            }
+            assert sends['old'] == 30
+            assert sends['new'] == 10
+
+    run(scene())
+
+
+def test_draining_upstream_gets_nothing_more(run):
+    """An upstream that says it leaves, or whose zone is taken out, is sent no work."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            leaving, evacuated, left = edge.by_service['one']
+            entry = leaving.register(state='draining')
+            edge.store.put('registrations', leaving.name, entry)
+            edge.store.put('evacuations', evacuated.zone, b'{}')
+            await asyncio.sleep(0.2)
+            for host in edge.kernels:
+                for _ in range(10):
+                    await edge.ask(host)
+            assert not leaving.arrivals
+            assert not evacuated.arrivals
+            assert len(left.arrivals) == 30
+            edge.store.put('evacuations', evacuated.zone, None)
+            await asyncio.sleep(0.2)
+            for host in edge.kernels:
+                await asyncio.gather(*(edge.ask(host) for _ in range(8)))
+            assert evacuated.arrivals
+
+    run(scene())
+
+
+def test_host_cut_from_the_store_lives_on_its_peers(run):
+    """News reach a host that the store does not serve, within a pulse."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one')
+            edge.add_service('two')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            edge.stores['host-1'].is_cut = True
+            version = edge.configure(one_route('two'))
+            await asyncio.sleep(1)
+            for kernel in edge.kernels.values():
+                assert kernel.find(SHARED_STATE).desired.version == version
+
+    run(scene())
+
+
+def test_host_that_starts_without_the_store_learns_from_a_seed(run):
+    """A host with nothing, in an outage, gets the whole state from a host it was told."""
+
+    async def scene():
+        async with Edge(hosts=2) as edge:
+            edge.add_service('one')
+            edge.add_service('gone')
+            version = edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            edge.store.put('registrations', 'gone-0', None)
+            await asyncio.sleep(0.5)
+            edge.store.set_down(is_down=True)
+            kernel = await edge.start('late', 'south', seeds=['host-0'])
+            await asyncio.sleep(2)
+            state = kernel.find(SHARED_STATE)
+            assert state.is_complete
+            assert state.desired.version == version
+            answer = await edge.ask('late')
+            assert isinstance(answer, Relayed)
+
+    run(scene())
+
+
+def test_two_hosts_wait_on_the_store_while_all_is_well(run):
+    """Of six hosts two watch; when both go silent the others step in by themselves."""
+
+    async def scene():
+        async with Edge(hosts=6) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            followers = [
+                host
+                for host, kernel in edge.kernels.items()
+                if not kernel.find(NEWS).may_rest()
+            ]
+            assert len(followers) == 2
+            for host in followers:
+                await edge.stop(host)
+            await asyncio.sleep(2)
+            version = edge.configure(one_route('one', timeoutMs=900))
+            await asyncio.sleep(1)
+            for kernel in edge.kernels.values():
+                assert kernel.find(SHARED_STATE).desired.version == version
+                assert len(kernel.find(FLEET).live_hosts()) == 4
+
+    run(scene())
+
+
+def test_foreign_entry_names_no_upstream(run):
+    """An entry that cannot be read is left out; the others hold."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', replicas=1)
+            edge.configure(one_route('one'))
+            for number, entry in enumerate(
+                (b'null', b'[1]', b'{"service": 3}', b'"text"', b'{"state": "odd"}')
+            ):
+                edge.store.put('registrations', f'odd-{number}', entry)
+            await asyncio.sleep(SETTLE)
+            answer = await edge.ask('host-0')
+            assert answer.reply.upstream == 'one-0'
+
+    run(scene())
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -29,8 +29,15 @@
     'observability': {'contracts', 'kernel', 'model'},
     'peering': {'contracts', 'model'},
     'platform': {'contracts', 'kernel', 'model'},
-    'transports': {'contracts', 'decisions', 'kernel', 'model', 'observability'},
-    'standins': {'contracts', 'model', 'peering', 'transports'},
+    'transports': {
+        'contracts',
+        'decisions',
+        'kernel',
+        'model',
+        'observability',
+        'platform',
+    },
+    'standins': {'contracts', 'model', 'peering', 'platform', 'transports'},
 }
 
 
--- a/tests/tiers.py
+++ b/tests/tiers.py
@@ -48,7 +48,7 @@
     build_world,
     zone_name,
 )
-from rattanspoke.transports import RecordCodec
+from rattanspoke.transports import RecordCodec, RecordStore
 
 
 @dataclass
@@ -108,7 +108,7 @@
             codec=RecordCodec(),
             counters=HostCounters(),
             timeline=HostTimeline(identity),
-            platform=self.world.platform,
+            platform=RecordStore(self.world.platform),
             peer_transport=transport,
             upstream_client=LocalUpstreams(self.world.upstreams),
         )
