--- a/src/rattanspoke/model/_registrations.py
+++ b/src/rattanspoke/model/_registrations.py
@@ -14,7 +14,7 @@
 
     DESIRED_STATE = 'desired state'
     REGISTRATIONS = 'registrations'
-    EVACUATIONS = 'evacuations'
+    EVACUATIONS = 'evacuated zones'
 
 
 @unique
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -285,7 +285,7 @@
             leaving, evacuated, left = edge.by_service['one']
             entry = leaving.register(state='draining')
             edge.store.put('registrations', leaving.name, entry)
-            edge.store.put('evacuations', evacuated.zone, b'{}')
+            edge.store.put('evacuated zones', evacuated.zone, b'{}')
             await asyncio.sleep(0.2)
             for host in edge.kernels:
                 for _ in range(10):
@@ -293,7 +293,7 @@
             assert not leaving.arrivals
             assert not evacuated.arrivals
             assert len(left.arrivals) == 30
-            edge.store.put('evacuations', evacuated.zone, None)
+            edge.store.put('evacuated zones', evacuated.zone, None)
             await asyncio.sleep(0.2)
             for host in edge.kernels:
                 await asyncio.gather(*(edge.ask(host) for _ in range(8)))
