Bound what is in flight at an upstream; hold entries that lapse with the store

Entries that lapse in an outage would have emptied every service on its return. Change: a limit in flight for each upstream that follows the wait seen in replies; requests wait for room by objective, priority and deadline; a vanished entry that had not said it leaves counts for 2.2 s more.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -29,7 +29,7 @@
     UpstreamLines,
 )
 from .kernel import Kernel, ServiceKey
-from .model import HostEntry, HostId
+from .model import HostEntry, HostId, Seconds
 from .services import (
     HostFleet,
     HostLifecycle,
@@ -64,10 +64,12 @@
 
     Attributes:
         extra: bounds on extra sends to a service.
+        drain_time: seconds for which upstreams that leave may be sent work.
         seeds: hosts that may know the others while the store does not answer.
     """
 
     extra: BudgetRule
+    drain_time: Seconds
     seeds: tuple[HostId, ...] = ()
 
 
@@ -94,7 +96,7 @@
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
-    kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
+    kernel.provide(DIRECTORY, UpstreamDirectory(kernel, rules.drain_time))
     kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
     kernel.provide(NEWS, HostNews(kernel))
     kernel.provide(LINES, UpstreamChannels(kernel))
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -42,25 +42,7 @@
 
     def __init__(self, settings: HostSettings) -> None:
         self._settings = settings
-        counters = HostCounters()
-        life = Incarnation(secrets.token_hex(8))
-        identity = Identity(settings.host, life, settings.zone)
-        entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
-        store = HttpStore(settings.store, counters)
-        transport = GrpcTransport(settings.host)
-        ports = EdgePorts(
-            counters=counters,
-            store=store,
-            codec=StateForms(),
-            upstream_lines=HttpConnections(),
-            peer_transport=transport,
-            timeline=HostTimeline(identity),
-        )
-        extra = BudgetRule(settings.retry_ratio, settings.retry_slack)
-        seed = random.SystemRandom().randrange(MAX_SEED)
-        self.kernel: Kernel = assemble_edge(
-            identity, entry, ports, EdgeRules(extra=extra, seeds=settings.seeds), seed
-        )
+        self.kernel = _assemble(settings)
         callers = make_caller_app(self.kernel)
         probes = make_probe_app(self.kernel, render_metrics)
         self._callers = _make_server(callers, settings.callers)
@@ -120,6 +102,28 @@
         return runner.run(_serve(settings))
 
 
+def _assemble(settings: HostSettings) -> Kernel:
+    life = Incarnation(secrets.token_hex(8))
+    identity = Identity(settings.host, life, settings.zone)
+    counters = HostCounters()
+    ports = EdgePorts(
+        counters=counters,
+        store=HttpStore(settings.store, counters),
+        codec=StateForms(),
+        upstream_lines=HttpConnections(),
+        peer_transport=GrpcTransport(settings.host),
+        timeline=HostTimeline(identity),
+    )
+    rules = EdgeRules(
+        extra=BudgetRule(settings.retry_ratio, settings.retry_slack),
+        drain_time=settings.drain_time,
+        seeds=settings.seeds,
+    )
+    entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
+    seed = random.SystemRandom().randrange(MAX_SEED)
+    return assemble_edge(identity, entry, ports, rules, seed)
+
+
 def _make_server(application: Application, address: str) -> QuietServer:
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -23,6 +23,7 @@
     UpstreamError,
     UpstreamId,
     UpstreamReply,
+    Waiter,
     ZoneId,
 )
 from ._ports import ObjectList
@@ -224,8 +225,13 @@
     ) -> Registration | None:
         """Return the upstream to send to next, None when none can take work now."""
 
-    def return_in(self, service: ServiceId) -> Seconds:
-        """Return the seconds until a service is expected to take work again."""
+    async def await_room(
+        self, service: ServiceId, waiter: Waiter, tried: Collection[UpstreamId]
+    ) -> Registration | None:
+        """Return the upstream to send to once one has room, None when none will."""
+
+    def opens_in(self, service: ServiceId) -> Seconds | None:
+        """Return the seconds until a service takes work again, None if it has none."""
 
     def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
         """Return the seconds without a reply after which to ask a second upstream."""
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -69,6 +69,7 @@
 ENTRY: ServiceKey[Entry] = ServiceKey('entry')
 
 PULSE_HEARD: Topic[Pulse] = Topic('pulse heard')
+UPSTREAM_GONE: Topic[UpstreamId] = Topic('upstream gone')
 STATE_CHANGED: Topic[StateChange] = Topic('state changed')
 RECORD_CHANGED: Topic[Change] = Topic('record changed')
 MEMBER_CHANGED: Topic[HostId] = Topic('member changed')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -1,5 +1,9 @@
 """Decisions of the tier, free of any encoding and of the clock."""
 
+from ._absence import (
+    Absences,
+    choose_hold,
+)
 from ._adoption import (
     Adoption,
     Name,
@@ -19,6 +23,9 @@
     settle_claim,
     take_claim,
 )
+from ._concurrency import (
+    ConcurrencyLimit,
+)
 from ._extra import (
     first_hedge,
     make_extra_budget,
@@ -137,6 +144,10 @@
     MAX_SLOTS,
     check_record,
 )
+from ._waiting import (
+    is_waiting_useful,
+    rank_waiter,
+)
 
 __all__ = (
     'CONVICTING_CRASHES',
@@ -180,11 +191,13 @@
     'UNKNOWN_LIFE',
     'UNUSABLE',
     'WINDOW',
+    'Absences',
     'Adoption',
     'Allowance',
     'AnswerWhenEnough',
     'Assignment',
     'Claims',
+    'ConcurrencyLimit',
     'Failure',
     'FairQueue',
     'Gathering',
@@ -213,6 +226,7 @@
     'check_record',
     'choose_followers',
     'choose_hedge_delay',
+    'choose_hold',
     'choose_links',
     'choose_owners',
     'choose_patience',
@@ -222,6 +236,7 @@
     'count_needed',
     'find_surplus',
     'first_hedge',
+    'is_waiting_useful',
     'list_holders',
     'make_extra_budget',
     'merge_records',
@@ -229,6 +244,7 @@
     'plan_answer',
     'propose_seats',
     'rank_hosts',
+    'rank_waiter',
     'settle_claim',
     'split_records',
     'take_claim',
--- /dev/null
+++ b/src/rattanspoke/decisions/_absence.py
@@ -0,0 +1,52 @@
+"""How long an upstream whose entry vanished is still sent work.
+
+Load pattern: the store is away for some seconds, the entries of healthy upstreams lapse
+meanwhile, and all of them are missing at once when it returns. Taken at its word, the
+store would empty every service; the upstreams write themselves in again within about
+two seconds. An upstream that does leave goes on serving for longer than that.
+"""
+
+from dataclasses import dataclass, field
+
+from ..model import Registration, RegistrationState, Seconds, UpstreamId
+
+# Healthy upstreams are back in the store within about 2 s of its return.
+RETURN_TIME = Seconds(2.2)
+DRAIN_PART = 0.75  # of the time for which leaving upstreams may be sent work
+
+
+@dataclass(slots=True)
+class Absences:
+    """Upstreams that were ready when their entries vanished, and until when they count.
+
+    Attributes:
+        hold: seconds for which a vanished upstream is still sent work.
+    """
+
+    hold: Seconds
+    _held: dict[UpstreamId, tuple[Registration, Seconds]] = field(default_factory=dict)
+
+    def note_vanished(self, former: Registration, now: Seconds) -> None:
+        """Hold an upstream whose entry vanished, unless it had said that it leaves."""
+        if former.state is RegistrationState.READY:
+            self._held[former.upstream] = former, Seconds(now + self.hold)
+
+    def note_present(self, upstream: UpstreamId) -> None:
+        """Let an entry that is back, in whatever state, speak for itself."""
+        self._held.pop(upstream, None)
+
+    def list_held(self) -> tuple[Registration, ...]:
+        """Return the upstreams that are held."""
+        return tuple(registration for registration, _ in self._held.values())
+
+    def drop_expired(self, now: Seconds) -> tuple[UpstreamId, ...]:
+        """Forget the upstreams that are gone for good, and return them."""
+        gone = [name for name, (_, until) in self._held.items() if until <= now]
+        for name in gone:
+            del self._held[name]
+        return tuple(gone)
+
+
+def choose_hold(drain_time: Seconds) -> Seconds:
+    """Return how long to hold, well within the time for which drains may last."""
+    return Seconds(min(RETURN_TIME, drain_time * DRAIN_PART))
--- a/src/rattanspoke/decisions/_replicas.py
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -11,6 +11,7 @@
 from enum import Enum, unique
 
 from ..model import CallId, Seconds, UpstreamId, ZoneId
+from ._concurrency import ConcurrencyLimit
 
 OTHER_ZONE = 1.25  # cost factor of a replica in another zone; bytes there are dear
 SMOOTHING = 0.25  # weight of the newest sample in the moving average
@@ -41,6 +42,7 @@
     Attributes:
         slots: requests that the upstream runs at once.
         calls: when each call in flight was sent.
+        window: how many calls may be in flight.
         slowness: moving average of latency over what is usual for the route.
     """
 
@@ -48,13 +50,15 @@
     zone: ZoneId
     slots: int
     calls: dict[CallId, Seconds] = field(default_factory=dict)
+    window: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     slowness: float = 1
     seen: Seconds = Seconds(0)
     failures: int = 0
     paused_until: Seconds = Seconds(0)
 
-    def note_success(self, ratio: float, now: Seconds) -> None:
+    def note_success(self, ratio: float, sent: Seconds, now: Seconds) -> None:
         """Learn from a call that took some multiple of what is usual."""
+        self.window.note_reply(ratio, len(self.calls) + 1, sent, now)
         self.failures = 0
         self.paused_until = Seconds(0)
         self._learn(ratio, now)
@@ -63,11 +67,12 @@
         """Learn from a call that was given up after some multiple of what is usual."""
         self._learn(ratio, now)
 
-    def note_failure(self, failure: Failure, now: Seconds) -> None:
+    def note_failure(self, failure: Failure, sent: Seconds, now: Seconds) -> None:
         """Learn from a call that failed."""
         self._learn(FAILURE_SLOWNESS, now)
         match failure:
             case Failure.SHED:
+                self.window.note_shed(sent, now)
                 self._pause(SHED_PAUSE, now)
             case Failure.UNREACHABLE | Failure.FOREIGN:
                 self.failures += 1
@@ -82,7 +87,9 @@
         """Whether it may be sent work; after a pause one call at a time tries it."""
         if now < self.paused_until:
             return False
-        return self.failures < FAILURES_TO_PAUSE or not self.calls
+        if self.failures >= FAILURES_TO_PAUSE and self.calls:
+            return False
+        return self.window.allows(len(self.calls))
 
     def expect(self, usual: Seconds, now: Seconds) -> float:
         """Return the expected cost of one more call, as a multiple of usual."""
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -124,6 +124,7 @@
     Route,
     ServiceTraits,
     ShardSet,
+    Waiter,
     WeightedService,
     WeightedServices,
 )
@@ -245,6 +246,7 @@
     'UpstreamReply',
     'UpstreamState',
     'Verdict',
+    'Waiter',
     'Warmth',
     'WeightedService',
     'WeightedServices',
--- a/src/rattanspoke/model/_routing.py
+++ b/src/rattanspoke/model/_routing.py
@@ -127,3 +127,17 @@
     routes: tuple[Route, ...]
     services: Mapping[ServiceId, ServiceTraits]
     limits: CallerLimits
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Waiter:
+    """A request that waits for room at some upstream of a service.
+
+    Attributes:
+        answer_by: when its answer goes out to be in time.
+        give_up_at: when waiting ends, on the loop's clock.
+    """
+
+    route: Route
+    answer_by: Seconds
+    give_up_at: Seconds
--- a/src/rattanspoke/platform/__init__.py
+++ b/src/rattanspoke/platform/__init__.py
@@ -5,8 +5,10 @@
 from ._settings import SETTINGS_VARIABLE, HostSettings, load_host_settings
 from ._store import HttpStore
 from ._upstreams import HttpConnections
+from ._words import OBJECTS_PATH
 
 __all__ = (
+    'OBJECTS_PATH',
     'SETTINGS_VARIABLE',
     'Application',
     'HostSettings',
--- a/src/rattanspoke/services/_directory.py
+++ b/src/rattanspoke/services/_directory.py
@@ -4,24 +4,29 @@
 
 import structlog
 
-from ..contracts import STATE_CHANGED
+from ..contracts import STATE_CHANGED, UPSTREAM_GONE
+from ..decisions import Absences, choose_hold
 from ..kernel import Kernel
 from ..model import (
     Evacuation,
     Registration,
     RegistrationState,
+    Seconds,
     ServiceId,
     StateChange,
     StateKind,
     UpstreamId,
     ZoneId,
 )
+from ._tasks import read_clock
 
 
 class UpstreamDirectory:
     """Upstreams by service, without those that leave and those of evacuated zones."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, drain_time: Seconds) -> None:
+        self._bus = kernel.bus
+        self._absences = Absences(choose_hold(drain_time))
         self._log = structlog.get_logger()
         self._known: dict[UpstreamId, Registration] = {}
         self._evacuated: set[ZoneId] = set()
@@ -30,13 +35,17 @@
 
     def replicas(self, service: ServiceId) -> tuple[Registration, ...]:
         """Return the upstreams of a service that may be sent new work."""
+        gone = self._absences.drop_expired(Seconds(read_clock()))
+        for upstream in gone:
+            self._by_service = None
+            self._bus.announce(UPSTREAM_GONE, upstream)
         if self._by_service is None:
             self._by_service = self._sort_by_service()
         return self._by_service.get(service, ())
 
     def _sort_by_service(self) -> dict[ServiceId, tuple[Registration, ...]]:
         found: dict[ServiceId, list[Registration]] = defaultdict(list)
-        for registration in self._known.values():
+        for registration in (*self._known.values(), *self._absences.list_held()):
             if self._takes_work(registration):
                 found[registration.service].append(registration)
         return {service: tuple(each) for service, each in found.items()}
@@ -61,7 +70,10 @@
         state = 'gone'
         if isinstance(change.content, Registration):
             self._known[upstream] = change.content
+            self._absences.note_present(upstream)
             state = change.content.state.value
+        elif former is not None:
+            self._absences.note_vanished(former, Seconds(read_clock()))
         if former is None or state != former.state.value:
             self._log.info('upstream', upstream=upstream, state=state)
 
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -40,11 +40,14 @@
     Seconds,
     ServiceId,
     ShardSet,
+    Waiter,
     WeightedServices,
 )
 from ._part import Part, PartResult
 from ._tasks import TaskOwner, read_clock
 
+MILLISECONDS = 1000  # in a second
+GIVE_UP_RESERVE = Seconds(0.02)  # before the deadline, to say that nothing has run
 LEAST_RETURN = Seconds(0.05)  # before a refused caller comes back
 STARTUP_RETURN = Seconds(0.5)  # while no desired state is known
 
@@ -100,7 +103,12 @@
     async def _forward(
         self, request: CallerRequest, route: Route, service: ServiceId
     ) -> CallerAnswer:
-        part = self._tasks.spawn(self._make_part(request, route, service).run())
+        waiter = Waiter(
+            route,
+            answer_by=Seconds(request.arrived + route.objective),
+            give_up_at=Seconds(request.deadline - GIVE_UP_RESERVE),
+        )
+        part = self._tasks.spawn(self._make_part(request, service, waiter).run())
         left = request.deadline - read_clock()
         try:
             await asyncio.wait({part}, timeout=left)
@@ -108,8 +116,19 @@
             if not part.done():
                 part.cancel()
         if part.cancelled() or not part.done():
-            return Failed(Reason.DEADLINE)
-        return self._answer_part(part.result())
+            answer: CallerAnswer = Failed(Reason.DEADLINE)
+        else:
+            answer = self._answer_part(part.result())
+        if not isinstance(answer, Relayed):
+            self._log.info(
+                'request not served',
+                request=request.attempt,
+                route=route.route,
+                waited_ms=round((read_clock() - request.arrived) * MILLISECONDS),
+                answer=type(answer).__name__,
+                reason=answer.reason.value if hasattr(answer, 'reason') else '',
+            )
+        return answer
 
     def _answer_part(self, outcome: PartResult) -> CallerAnswer:
         if outcome.reply is not None:
@@ -119,34 +138,60 @@
         return Failed(outcome.reason)
 
     def _refuse(self, reason: Reason, services: list[ServiceId]) -> Refused:
-        returns = [self._placements.return_in(service) for service in services]
-        return Refused(reason, Seconds(max(LEAST_RETURN, *returns)))
+        returns = [self._placements.opens_in(service) for service in services]
+        latest = max(each or LEAST_RETURN for each in returns)
+        return Refused(reason, Seconds(max(LEAST_RETURN, latest)))
 
     async def _gather(
         self, request: CallerRequest, route: Route, shards: ShardSet
     ) -> CallerAnswer:
-        gathering = _Gathering(
-            shards, plan_answer(route, request.arrived, request.deadline)
-        )
-        parts = [self._make_part(request, route, each) for each in shards.shards]
-        running = {self._tasks.spawn(part.run()) for part in parts}
+        answer_at = plan_answer(route, request.arrived, request.deadline)
+        gathering = _Gathering(shards, answer_at)
+        waiter = Waiter(route, answer_at, request.deadline)
+        parts = [self._make_part(request, each, waiter) for each in shards.shards]
+        running = {self._tasks.spawn(part.run()): part for part in parts}
         try:
-            await gathering.wait(running, request.deadline)
+            await gathering.wait(set(running), request.deadline)
         except asyncio.CancelledError:
             for part in running:
                 part.cancel()
             raise
+        if len(gathering.covered) < len(shards.shards):
+            self._note_short(request, route, gathering, list(running.values()))
         self._counters.observe(
             Metric.COVERAGE, len(gathering.covered) / len(shards.shards)
         )
         if gathering.is_enough:
-            for each in parts:
-                each.release()
+            _release(running)
             return gathering.merge()
         for part in running:
             part.cancel()
         return self._answer_shortfall(gathering)
 
+    def _note_short(
+        self,
+        request: CallerRequest,
+        route: Route,
+        gathering: '_Gathering',
+        parts: list[Part],
+    ) -> None:
+        """Log which shards an answer lacks, what was tried and why they are missing."""
+        covered = {each.service for each in gathering.covered}
+        missing = {
+            part.service: f'{known.reason.value}: {" ".join(known.tried) or "unsent"}'
+            for part in parts
+            if part.service not in covered and (known := part.describe())
+        }
+        self._log.info(
+            'shards missing',
+            request=request.attempt,
+            route=route.route,
+            waited_ms=round((read_clock() - request.arrived) * MILLISECONDS),
+            is_enough=gathering.is_enough,
+            version=self._table.version if self._table else None,
+            missing=missing,
+        )
+
     def _answer_shortfall(self, gathering: '_Gathering') -> CallerAnswer:
         if gathering.is_unrun:
             services = [each.service for each in gathering.missed]
@@ -154,12 +199,12 @@
         return Failed(Reason.LOW_COVERAGE)
 
     def _make_part(
-        self, request: CallerRequest, route: Route, service: ServiceId
+        self, request: CallerRequest, service: ServiceId, waiter: Waiter
     ) -> Part:
         return Part(
             request=request,
-            route=route,
             service=service,
+            waiter=waiter,
             lines=self._lines,
             placements=self._placements,
             counters=self._counters,
@@ -167,6 +212,14 @@
         )
 
 
+def _release(running: dict['asyncio.Task[PartResult]', Part]) -> None:
+    """Let parts that are in flight end, and those that were not sent be dropped."""
+    for task, part in running.items():
+        part.release()
+        if part.is_waiting:
+            task.cancel()
+
+
 @dataclass(slots=True)
 class _Gathering:
     """The parts of one search as they come in."""
--- a/src/rattanspoke/services/_lines.py
+++ b/src/rattanspoke/services/_lines.py
@@ -10,7 +10,7 @@
     COUNTERS,
     FLEET,
     SHARED_STATE,
-    STATE_CHANGED,
+    UPSTREAM_GONE,
     UPSTREAM_LINES,
     Counters,
     Metric,
@@ -27,8 +27,6 @@
     Route,
     Seconds,
     ServiceId,
-    StateChange,
-    StateKind,
     UpstreamError,
     UpstreamId,
     UpstreamReply,
@@ -206,7 +204,7 @@
         self._state = kernel.find(SHARED_STATE)
         self._fleet = kernel.find(FLEET)
         self._channels: dict[UpstreamId, tuple[Incarnation, _Channel]] = {}
-        kernel.bus.subscribe(STATE_CHANGED, self._forget_gone)
+        kernel.bus.subscribe(UPSTREAM_GONE, self._forget)
 
     async def send(
         self, request: CallerRequest, route: Route, target: Registration
@@ -248,6 +246,5 @@
         allowed = traits.connection_limit if traits else UNKNOWN_LIMIT
         return max(1, int(allowed * SHARE_USED / self._fleet.live_count))
 
-    def _forget_gone(self, change: StateChange) -> None:
-        if change.kind is StateKind.REGISTRATIONS and change.content is None:
-            self._channels.pop(UpstreamId(change.name), None)
+    def _forget(self, upstream: UpstreamId) -> None:
+        self._channels.pop(upstream, None)
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -17,8 +17,9 @@
     UpstreamError,
     UpstreamId,
     UpstreamReply,
+    Waiter,
 )
-from ._tasks import Tasks, read_clock
+from ._tasks import Tasks
 
 Attempt: TypeAlias = 'asyncio.Task[UpstreamReply | UpstreamError]'
 
@@ -30,12 +31,14 @@
     Attributes:
         reply: the reply to hand on, None when no upstream gave a whole one.
         outcome: whether any upstream ran the request, when the reply is no success.
+        tried: the upstreams that it was sent to.
     """
 
     service: ServiceId
     reply: UpstreamReply | None
     outcome: Outcome
     reason: Reason
+    tried: tuple[UpstreamId, ...] = ()
 
     @property
     def is_success(self) -> bool:
@@ -54,8 +57,8 @@
     """
 
     request: CallerRequest
-    route: Route
     service: ServiceId
+    waiter: Waiter
     lines: Lines
     placements: Placements
     counters: Counters
@@ -64,6 +67,7 @@
     _attempts: int = 0
     _running: dict[Attempt, UpstreamId] = field(default_factory=dict)
     _failed: UpstreamReply | None = None
+    is_waiting: bool = False
     _is_released: bool = False
     _outcome: Outcome = Outcome.NOT_RUN
     _reason: Reason = Reason.NO_REPLICA
@@ -71,7 +75,7 @@
     async def run(self) -> PartResult:
         """Return the first success, else what is known when no attempt is left."""
         self.placements.count_request(self.service)
-        self._send()
+        await self._send_when_possible()
         try:
             while self._running:
                 ended = await self._await_reply()
@@ -80,12 +84,26 @@
                 if success is not None:
                     # A slower attempt ends by itself and is learned from.
                     return PartResult(self.service, success, Outcome.RAN, Reason.NONE)
-                if not ended or self._may_retry():
-                    self._send_extra(Metric.RETRIES if ended else Metric.HEDGES)
+                if not ended:
+                    self._send_hedge()
+                elif self._may_retry():
+                    await self._send_when_possible()
         except asyncio.CancelledError:
             self._cancel_all()
             raise
-        return PartResult(self.service, self._failed, self._outcome, self._reason)
+        return self.describe()
+
+    @property
+    def route(self) -> Route:
+        """The route of the request."""
+        return self.waiter.route
+
+    def describe(self) -> PartResult:
+        """Return what is known of a part that has no success."""
+        reason = Reason.OVERLOADED if self.is_waiting else self._reason
+        return PartResult(
+            self.service, self._failed, self._outcome, reason, tuple(self._tried)
+        )
 
     def release(self) -> None:
         """Send nothing more; attempts in flight end by themselves and are learned from.
@@ -103,37 +121,45 @@
         return ended
 
     def _may_hedge(self) -> bool:
-        if not self.route.is_idempotent or len(self._running) > 1 or self._is_released:
+        if not self.route.is_idempotent or len(self._running) > 1:
             return False
-        return self._attempts < self.route.attempt_limit
+        return self._may_send()
 
     def _hedge_wait(self) -> Seconds:
         return self.placements.hedge_after(self.service, self.route)
 
     def _may_retry(self) -> bool:
-        if self._running or read_clock() >= self.request.deadline:
+        if self._running or not self._may_send():
             return False
         return self.route.is_idempotent or self._outcome is Outcome.NOT_RUN
 
-    def _send_extra(self, kind: Metric) -> None:
-        if self._is_released or self._attempts >= self.route.attempt_limit:
-            return
-        target = self._choose()
-        if target is None:
-            return
-        if self._attempts and not self.placements.spend_extra(self.service):
-            self.counters.add(Metric.EXTRA_DENIED, kind.value)
-            return
-        self.counters.add(kind)
-        self._start(target)
+    def _may_send(self) -> bool:
+        return not self._is_released and self._attempts < self.route.attempt_limit
 
-    def _send(self) -> None:
-        target = self._choose()
-        if target is not None:
+    async def _send_when_possible(self) -> None:
+        """Wait for room at an upstream; send nothing when none is to be expected."""
+        self.is_waiting = True
+        target = await self.placements.await_room(
+            self.service, self.waiter, self._tried
+        )
+        self.is_waiting = False
+        if target is not None and self._pay(Metric.RETRIES):
             self._start(target)
 
-    def _choose(self) -> Registration | None:
-        return self.placements.choose(self.service, self.route, self._tried)
+    def _send_hedge(self) -> None:
+        target = self.placements.choose(self.service, self.route, self._tried)
+        if target is not None and self._pay(Metric.HEDGES):
+            self._start(target)
+
+    def _pay(self, kind: Metric) -> bool:
+        """Take a send beyond the first from the budget; False when it is spent."""
+        if not self._attempts:
+            return True
+        if not self.placements.spend_extra(self.service):
+            self.counters.add(Metric.EXTRA_DENIED, kind.value)
+            return False
+        self.counters.add(kind)
+        return True
 
     def _start(self, target: Registration) -> None:
         self._tried.add(target.upstream)
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -1,5 +1,7 @@
 """What this host learned of upstreams, and the extra sends that it may still use."""
 
+import asyncio
+from collections import defaultdict
 from collections.abc import Collection
 from itertools import count
 
@@ -7,7 +9,7 @@
     DIRECTORY,
     FLEET,
     IDENTITY,
-    STATE_CHANGED,
+    UPSTREAM_GONE,
     BudgetRule,
 )
 from ..decisions import (
@@ -18,7 +20,9 @@
     choose_hedge_delay,
     choose_replica,
     first_hedge,
+    is_waiting_useful,
     make_extra_budget,
+    rank_waiter,
 )
 from ..kernel import Kernel
 from ..model import (
@@ -31,15 +35,15 @@
     RouteId,
     Seconds,
     ServiceId,
-    StateChange,
-    StateKind,
     UpstreamError,
     UpstreamId,
     UpstreamReply,
+    Waiter,
 )
 from ._tasks import read_clock
 
 USUAL_QUANTILE = 0.5
+LOOK_AGAIN = Seconds(0.02)  # while no reply comes from upstreams that are busy
 LEAST_USUAL = Seconds(0.002)
 USUAL_PART = 0.15  # of the objective that a call usually takes, while none was seen
 
@@ -55,8 +59,11 @@
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
         self._latencies: dict[RouteId, RecentLatency] = {}
         self._budgets: dict[ServiceId, RatioBudget] = {}
+        self._waiting: dict[ServiceId, dict[asyncio.Future[None], Waiter]] = (
+            defaultdict(dict)
+        )
         self._numbers = count(1)
-        kernel.bus.subscribe(STATE_CHANGED, self._forget_gone)
+        kernel.bus.subscribe(UPSTREAM_GONE, self._forget)
 
     def choose(
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
@@ -73,11 +80,31 @@
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
 
-    def return_in(self, service: ServiceId) -> Seconds:
-        """Return the seconds until a service is expected to take work again."""
+    async def await_room(
+        self, service: ServiceId, waiter: Waiter, tried: Collection[UpstreamId]
+    ) -> Registration | None:
+        """Return the upstream to send to once one has room, None when none will."""
+        target = self.choose(service, waiter.route, tried)
+        while target is None:
+            now = Seconds(read_clock())
+            opens_in = self.opens_in(service)
+            queue_time = self._queue_time(service, waiter, now)
+            if not is_waiting_useful(opens_in, queue_time, waiter, now):
+                return None
+            await self._wait(service, waiter, opens_in or Seconds(0))
+            target = self.choose(service, waiter.route, tried)
+        return target
+
+    def opens_in(self, service: ServiceId) -> Seconds | None:
+        """Return the seconds until a service takes work again, None if it has none.
+
+        Zero for upstreams that are busy: every reply makes room.
+        """
         now = read_clock()
         replicas = [self._find(each) for each in self._directory.replicas(service)]
-        opening = min((each.paused_until for each in replicas), default=now)
+        if not replicas:
+            return None
+        opening = min(each.paused_until for each in replicas)
         return Seconds(max(0, opening - now))
 
     def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
@@ -105,42 +132,83 @@
     ) -> None:
         """Learn from a whole reply."""
         now = Seconds(read_clock())
-        replica, took = self._end(target, call, now)
+        replica, sent = self._end(target, call, now)
         if reply.is_success:
-            usual = self._usual(route)
+            took = Seconds(now - sent)
+            replica.note_success(took / self._usual(route), sent, now)
             self._recent(route).record(took)
-            replica.note_success(took / usual, now)
         elif reply.is_foreign:
-            replica.note_failure(Failure.FOREIGN, now)
+            replica.note_failure(Failure.FOREIGN, sent, now)
         elif reply.outcome is Outcome.NOT_RUN:
-            replica.note_failure(Failure.SHED, now)
+            replica.note_failure(Failure.SHED, sent, now)
         else:
-            replica.note_failure(Failure.FAILED, now)
+            replica.note_failure(Failure.FAILED, sent, now)
 
     def note_failure(
         self, target: Registration, call: CallId, route: Route, error: UpstreamError
     ) -> None:
         """Learn from a request that got no reply."""
         now = Seconds(read_clock())
-        replica, _ = self._end(target, call, now)
+        replica, sent = self._end(target, call, now)
         unreachable = error.reason is Reason.UPSTREAM_UNREACHABLE
         failure = Failure.UNREACHABLE if unreachable else Failure.LOST
-        replica.note_failure(failure, now)
+        replica.note_failure(failure, sent, now)
 
     def note_dropped(self, target: Registration, call: CallId, route: Route) -> None:
         """Learn from a request whose reply nobody waits for any more."""
         now = Seconds(read_clock())
-        replica, lasted = self._end(target, call, now)
-        ratio = lasted / self._usual(route)
+        replica, sent = self._end(target, call, now)
+        ratio = (now - sent) / self._usual(route)
         if ratio > replica.slowness:
             replica.note_slow(ratio, now)
 
+    async def _wait(
+        self, service: ServiceId, waiter: Waiter, opens_in: Seconds
+    ) -> None:
+        """Wait for a call's end, for a pause's end, or until the waiter gives up."""
+        left = waiter.give_up_at - read_clock()
+        room: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiting = self._waiting[service]
+        waiting[room] = waiter
+        try:
+            async with asyncio.timeout(min(left, max(opens_in, LOOK_AGAIN))):
+                await room
+        except TimeoutError:
+            return
+        finally:
+            del waiting[room]
+
+    def _queue_time(self, service: ServiceId, waiter: Waiter, now: Seconds) -> Seconds:
+        """Return the seconds until those that go before a waiter are sent."""
+        rank = rank_waiter(waiter, self._usual(waiter.route), now)
+        usual = [
+            self._usual(each.route)
+            for each in self._waiting[service].values()
+            if rank_waiter(each, self._usual(each.route), now) < rank
+        ]
+        replicas = [self._find(each) for each in self._directory.replicas(service)]
+        room = sum(each.window.limit for each in replicas)
+        return Seconds(sum(usual) / max(1, room))
+
+    def _wake(self, service: ServiceId) -> None:
+        """Let the first of those that wait for a service look for room."""
+        now = Seconds(read_clock())
+        waiting = [
+            (rank_waiter(waiter, self._usual(waiter.route), now), number, room)
+            for number, (room, waiter) in enumerate(self._waiting[service].items())
+            if not room.done()
+        ]
+        if waiting:
+            min(waiting)[-1].set_result(None)
+
     def _end(
         self, target: Registration, call: CallId, now: Seconds
     ) -> tuple[Replica, Seconds]:
+        """Forget a call in flight; return its replica and when it was sent."""
         replica = self._find(target)
         sent = replica.calls.pop(call, now)
-        return replica, Seconds(now - sent)
+        self._wake(target.service)
+        return replica, sent
 
     def _find(self, target: Registration) -> Replica:
         known = self._replicas.get(target.upstream)
@@ -167,6 +235,5 @@
             )
         return self._budgets[service]
 
-    def _forget_gone(self, change: StateChange) -> None:
-        if change.kind is StateKind.REGISTRATIONS and change.content is None:
-            self._replicas.pop(UpstreamId(change.name), None)
+    def _forget(self, upstream: UpstreamId) -> None:
+        self._replicas.pop(upstream, None)
--- a/src/rattanspoke/standins/_store_server.py
+++ b/src/rattanspoke/standins/_store_server.py
@@ -16,12 +16,13 @@
     Seconds,
     StoredObject,
 )
+from ..platform import OBJECTS_PATH
 from ._platform import StandinPlatform
 from ._serving import HttpServer, abort, reply
 
 MILLISECONDS = 1000  # in a second
-LIST_PATH = '/-/objects/{kind}'
-OBJECT_PATH = '/-/objects/{kind}/{name}'
+LIST_PATH = f'{OBJECTS_PATH}{{kind}}'
+OBJECT_PATH = f'{LIST_PATH}/{{name}}'
 
 
 class PlatformServer:
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -34,6 +34,7 @@
 
 ZONES = ('east', 'west', 'south')
 CONNECT_TIME = 0.006
+DRAIN_TIME = Seconds(3)
 SETTLE = 2  # seconds until hosts have read the store and heard each other
 
 
@@ -240,7 +241,11 @@
             timeline=HostTimeline(identity),
         )
         entry = HostEntry(name=host, host=host, zone=zone)
-        rules = EdgeRules(extra=self.extra, seeds=tuple(map(HostId, seeds)))
+        rules = EdgeRules(
+            extra=self.extra,
+            drain_time=DRAIN_TIME,
+            seeds=tuple(map(HostId, seeds)),
+        )
         kernel = assemble_edge(identity, entry, ports, rules, seed=7)
         stack = AsyncExitStack()
         await stack.enter_async_context(kernel)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -177,7 +177,8 @@
     async def scene():
         async with Edge(hosts=1) as edge:
             edge.add_service('one', is_down=True)
-            edge.configure(one_route('one', routeType='non_idempotent'))
+            route = one_route('one', routeType='non_idempotent', targetLatencyMs=50)
+            edge.configure(route)
             await asyncio.sleep(SETTLE)
             for _ in range(4):
                 began = asyncio.get_running_loop().time()
@@ -385,3 +386,33 @@
             assert answer.reply.upstream == 'one-0'
 
     run(scene())
+
+
+def test_entries_that_lapse_with_the_store_are_held(run):
+    """Upstreams whose entries vanished in an outage keep their work until they return."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            edge.store.set_down(is_down=True)
+            for upstream in edge.by_service['one']:
+                edge.store.put('registrations', upstream.name, None)
+            await asyncio.sleep(3)
+            edge.store.set_down(is_down=False)
+            for _ in range(9):
+                await asyncio.sleep(0.2)
+                for host in edge.kernels:
+                    assert isinstance(await edge.ask(host), Relayed)
+            for upstream in edge.by_service['one'][:2]:
+                edge.store.put('registrations', upstream.name, upstream.register())
+            await asyncio.sleep(1.5)
+            gone = edge.by_service['one'][2]
+            gone.arrivals.clear()
+            for host in edge.kernels:
+                for _ in range(5):
+                    assert isinstance(await edge.ask(host), Relayed)
+            assert not gone.arrivals
+
+    run(scene())
