Replay load patterns against the decisions; mend what they found

Cause: replays on virtual time (tests/test_edge_loads.py) failed: under a burst the median of recent calls followed the queue and hid it from the limits in flight; half of what was sent timed out; hedges took the budget that retries needed; a healed upstream stayed shunned; new arrivals overtook those that waited. Change: a call's usual time is the lowest median of 30 s; hedges leave a quarter of the budget and none is sent while a request waits; slowness fades before it is learned from; arrivals queue behind their betters; replicas of the own zone weigh more, for bytes between zones; the next watch takes several changes at once.

--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -10,6 +10,7 @@
     CallerRequest,
     CallId,
     DesiredState,
+    ExtraSend,
     HostEntry,
     HostId,
     Registration,
@@ -220,10 +221,10 @@
 class Placements(Protocol):
     """Which upstream to send to, and what extra sends may cost."""
 
-    def choose(
+    def choose_hedge(
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Registration | None:
-        """Return the upstream to send to next, None when none can take work now."""
+        """Return an upstream for a second send, None when none has room to spare."""
 
     async def await_room(
         self, service: ServiceId, waiter: Waiter, tried: Collection[UpstreamId]
@@ -239,7 +240,7 @@
     def count_request(self, service: ServiceId) -> None:
         """Count a caller's request for a service, which earns it extra sends."""
 
-    def spend_extra(self, service: ServiceId) -> bool:
+    def spend_extra(self, service: ServiceId, kind: ExtraSend) -> bool:
         """Take one extra send from a service's budget; False when it is spent."""
 
     def note_sent(self, target: Registration) -> CallId:
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -29,6 +29,7 @@
 from ._extra import (
     first_hedge,
     make_extra_budget,
+    may_hedge,
 )
 from ._gathering import (
     NOW,
@@ -239,6 +240,7 @@
     'is_waiting_useful',
     'list_holders',
     'make_extra_budget',
+    'may_hedge',
     'merge_records',
     'name_claim',
     'plan_answer',
--- a/src/rattanspoke/decisions/_extra.py
+++ b/src/rattanspoke/decisions/_extra.py
@@ -9,6 +9,7 @@
 from ..model import Seconds
 from ._budget import RatioBudget
 
+RETRY_RESERVE = 0.25  # of the budget, which hedges leave to retries
 SAFE_PART = 0.85  # of the allowed ratio and slack; views of the fleet's size may differ
 
 
@@ -24,6 +25,14 @@
     return RatioBudget(ratio=ratio * SAFE_PART, capacity=capacity, saved=capacity)
 
 
+def may_hedge(budget: RatioBudget) -> bool:
+    """Whether enough is left for a hedge beside the retries that may be needed.
+
+    A retry brings an answer that would be lost, a hedge only brings it sooner.
+    """
+    return budget.fill > RETRY_RESERVE
+
+
 def first_hedge(objective: Seconds) -> Seconds:
     """Return the seconds to wait before a hedge while no latency is known yet."""
     return Seconds(objective / 4)
--- a/src/rattanspoke/decisions/_recent.py
+++ b/src/rattanspoke/decisions/_recent.py
@@ -14,21 +14,30 @@
 REMEMBERED = 300  # calls of a route, over all upstreams
 ENOUGH = 20  # calls from which quantiles are taken
 MEDIAN = 0.5
+EPOCH = Seconds(1)  # between medians that are kept
+EPOCHS = 30  # medians kept: a queue that lasts longer counts as usual
 EAGER_QUANTILE = 0.86  # hedged after, while the budget of extra sends is full
 THRIFTY_QUANTILE = 0.97  # hedged after, while it is nearly spent
+LEAST_DELAY = 1.3  # multiples of the median; sooner, most calls are about to end
 EAGER_CAP = 2  # multiples of the median, while the budget is full
 THRIFTY_CAP = 5  # and while it is nearly spent
 
 
 @dataclass(slots=True)
 class RecentLatency:
-    """Quantiles over the last calls of a route."""
+    """Quantiles over the last calls of a route, and its time without a queue."""
 
     _order: deque[float] = field(default_factory=deque)
     _sorted: list[float] = field(default_factory=list)
+    _medians: deque[float] = field(default_factory=lambda: deque(maxlen=EPOCHS))
+    _epoch_ends: Seconds = Seconds(0)
 
-    def record(self, took: Seconds) -> None:
+    def record(self, took: Seconds, now: Seconds) -> None:
         """Count a call that brought a whole reply."""
+        median = self.measure(MEDIAN)
+        if now >= self._epoch_ends and median is not None:
+            self._medians.append(median)
+            self._epoch_ends = Seconds(now + EPOCH)
         self._order.append(took)
         insort(self._sorted, took)
         if len(self._order) > REMEMBERED:
@@ -40,6 +49,17 @@
             return None
         return Seconds(self._sorted[int(quantile * (len(self._sorted) - 1))])
 
+    def measure_usual(self) -> Seconds | None:
+        """Return the lowest median of a while, None while too few calls were seen.
+
+        The median itself follows a queue that builds up at every upstream, and would
+        hide it.
+        """
+        median = self.measure(MEDIAN)
+        if median is None:
+            return None
+        return Seconds(min(median, min(self._medians, default=median)))
+
 
 def choose_hedge_delay(recent: RecentLatency, fill: float) -> Seconds | None:
     """Return the silence after which to hedge, None while too few calls were seen.
@@ -54,4 +74,4 @@
     if usual is None or late is None:
         return None
     cap = usual * (EAGER_CAP + (THRIFTY_CAP - EAGER_CAP) * spent)
-    return Seconds(min(late, cap))
+    return Seconds(min(max(late, usual * LEAST_DELAY), cap))
--- a/src/rattanspoke/decisions/_replicas.py
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -13,11 +13,13 @@
 from ..model import CallId, Seconds, UpstreamId, ZoneId
 from ._concurrency import ConcurrencyLimit
 
-OTHER_ZONE = 1.25  # cost factor of a replica in another zone; bytes there are dear
+OTHER_ZONE = (
+    1.8  # cost factor of a replica in another zone; bytes between zones are dear
+)
 SMOOTHING = 0.25  # weight of the newest sample in the moving average
 FAILURE_SLOWNESS = 8  # a failed call counts like one this many times slower than usual
 LEAST_RATIO = 0.7  # a faster upstream looks no better than this beside an untried one
-FADE_TIME = Seconds(1.5)  # in which an unconfirmed slowness halves towards usual
+FADE_TIME = Seconds(0.8)  # in which an unconfirmed slowness halves towards usual
 SHED_PAUSE = Seconds(0.1)  # after an upstream said that it is full
 FIRST_PAUSE = Seconds(0.25)  # after a failure to connect; it doubles from then on
 LONGEST_PAUSE = Seconds(2)  # so that a healed upstream is found within seconds
@@ -93,15 +95,20 @@
 
     def expect(self, usual: Seconds, now: Seconds) -> float:
         """Return the expected cost of one more call, as a multiple of usual."""
-        faded = 1 + (self.slowness - 1) * 0.5 ** ((now - self.seen) / FADE_TIME)
         silence = now - min(self.calls.values(), default=now)
-        slowness: float = max(faded, silence / usual)
+        slowness: float = max(self._fade(now), silence / usual)
         return slowness * (1 + len(self.calls) / self.slots)
 
     def _learn(self, ratio: float, now: Seconds) -> None:
-        self.slowness += SMOOTHING * (max(ratio, LEAST_RATIO) - self.slowness)
+        known = self._fade(now)
+        self.slowness = known + SMOOTHING * (max(ratio, LEAST_RATIO) - known)
         self.seen = now
 
+    def _fade(self, now: Seconds) -> float:
+        """Return the slowness, nearer to usual the longer no call confirmed it."""
+        fading: float = 0.5 ** ((now - self.seen) / FADE_TIME)
+        return 1 + (self.slowness - 1) * fading
+
     def _pause(self, pause: Seconds, now: Seconds) -> None:
         self.paused_until = Seconds(max(self.paused_until, now + pause))
 
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -131,6 +131,7 @@
 from ._states import (
     ClaimState,
     EventKind,
+    ExtraSend,
     HostState,
     Outcome,
     Reason,
@@ -167,6 +168,7 @@
     'Evacuation',
     'Event',
     'EventKind',
+    'ExtraSend',
     'Failed',
     'Fingerprint',
     'Headers',
--- a/src/rattanspoke/model/_states.py
+++ b/src/rattanspoke/model/_states.py
@@ -127,3 +127,11 @@
     SEAT = 'seat'
     CLAIM = 'claim'
     SUSPICION = 'suspicion'
+
+
+@unique
+class ExtraSend(Enum):
+    """Why a request is sent to one more upstream of a service."""
+
+    RETRY = 'retry'
+    HEDGE = 'hedge'
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -22,7 +22,7 @@
 from ._http import HttpAnswer, HttpLine, LineBroken, open_line
 from ._words import MILLISECONDS, OBJECTS_PATH
 
-CALL_LIMIT = Seconds(1.5)  # for a call beyond the wait that it asks for
+CALL_LIMIT = Seconds(1)  # for a call beyond the wait that it asks for
 NO_WAIT = Seconds(0)
 NOT_FOUND = 404
 CONFLICT = 409
--- a/src/rattanspoke/services/_follower.py
+++ b/src/rattanspoke/services/_follower.py
@@ -19,8 +19,10 @@
 
 # A watch may fall silent unseen, so that its end is what proves the connection. With a
 # call's own limit this stays within the 3 s in which changes are to be in force.
-WATCH_WAIT = Seconds(1.2)
+WATCH_WAIT = Seconds(1.8)
 FIRST_BACKOFF = Seconds(0.1)
+# Changes come in bursts, and each call is dear: the next watch takes several at once.
+GATHER_TIME = Seconds(0.15)
 REST_INTERVAL = Seconds(0.2)  # between looks at whether others still follow
 LONGEST_BACKOFF = Seconds(0.8)  # a return of the store is seen within a second
 
@@ -70,6 +72,8 @@
             self._news.take_list(kind, await self._store.list_kind(kind.value))
             return
         self._news.take_changes(kind, known, changes)
+        if changes.objects:
+            await asyncio.sleep(GATHER_TIME)
 
     def _note_failure(self, kind: StateKind, error: PlatformError) -> None:
         self._counters.add(Metric.PLATFORM_FAILURES, kind.value)
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -8,6 +8,7 @@
 from ..model import (
     CallerRequest,
     CallId,
+    ExtraSend,
     Outcome,
     Reason,
     Registration,
@@ -143,22 +144,23 @@
             self.service, self.waiter, self._tried
         )
         self.is_waiting = False
-        if target is not None and self._pay(Metric.RETRIES):
+        if target is not None and self._pay(ExtraSend.RETRY):
             self._start(target)
 
     def _send_hedge(self) -> None:
-        target = self.placements.choose(self.service, self.route, self._tried)
-        if target is not None and self._pay(Metric.HEDGES):
+        target = self.placements.choose_hedge(self.service, self.route, self._tried)
+        if target is not None and self._pay(ExtraSend.HEDGE):
             self._start(target)
 
-    def _pay(self, kind: Metric) -> bool:
+    def _pay(self, kind: ExtraSend) -> bool:
         """Take a send beyond the first from the budget; False when it is spent."""
         if not self._attempts:
             return True
-        if not self.placements.spend_extra(self.service):
+        if not self.placements.spend_extra(self.service, kind):
             self.counters.add(Metric.EXTRA_DENIED, kind.value)
             return False
-        self.counters.add(kind)
+        is_hedge = kind is ExtraSend.HEDGE
+        self.counters.add(Metric.HEDGES if is_hedge else Metric.RETRIES)
         return True
 
     def _start(self, target: Registration) -> None:
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -22,11 +22,13 @@
     first_hedge,
     is_waiting_useful,
     make_extra_budget,
+    may_hedge,
     rank_waiter,
 )
 from ..kernel import Kernel
 from ..model import (
     CallId,
+    ExtraSend,
     Incarnation,
     Outcome,
     Reason,
@@ -42,8 +44,11 @@
 )
 from ._tasks import read_clock
 
-USUAL_QUANTILE = 0.5
-LOOK_AGAIN = Seconds(0.02)  # while no reply comes from upstreams that are busy
+SILENT_RATIO = 8  # usual times without a reply that count as a failure
+# Every reply makes room and wakes whoever is first; this bounds the wait when the
+# upstreams that are busy fall silent and another one opens.
+LOOK_AGAIN = Seconds(0.2)
+LEAST_WAIT = Seconds(0.005)  # so that a pause's end, rounded, cannot spin
 LEAST_USUAL = Seconds(0.002)
 USUAL_PART = 0.15  # of the objective that a call usually takes, while none was seen
 
@@ -65,34 +70,30 @@
         self._numbers = count(1)
         kernel.bus.subscribe(UPSTREAM_GONE, self._forget)
 
-    def choose(
+    def choose_hedge(
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Registration | None:
-        """Return the upstream to send to next, None when none can take work now."""
-        now = Seconds(read_clock())
-        targets = {
-            target.upstream: target
-            for target in self._directory.replicas(service)
-            if target.upstream not in tried
-        }
-        replicas = [self._find(target) for target in targets.values()]
-        usual = self._usual(route)
-        chosen = choose_replica(replicas, self._zone, usual, now)
-        return None if chosen is None else targets[chosen.upstream]
+        """Return an upstream for a second send, None when none has room to spare."""
+        if self._waiting[service]:
+            return None
+        return self._choose(service, route, tried)
 
     async def await_room(
         self, service: ServiceId, waiter: Waiter, tried: Collection[UpstreamId]
     ) -> Registration | None:
         """Return the upstream to send to once one has room, None when none will."""
-        target = self.choose(service, waiter.route, tried)
+        queue_time = self._queue_time(service, waiter)
+        target = None
+        if not queue_time:
+            target = self._choose(service, waiter.route, tried)
         while target is None:
-            now = Seconds(read_clock())
             opens_in = self.opens_in(service)
-            queue_time = self._queue_time(service, waiter, now)
-            if not is_waiting_useful(opens_in, queue_time, waiter, now):
+            queue_time = Seconds(queue_time + self._usual(waiter.route))
+            if not is_waiting_useful(opens_in, queue_time, waiter, _now()):
                 return None
-            await self._wait(service, waiter, opens_in or Seconds(0))
-            target = self.choose(service, waiter.route, tried)
+            await self._wait(service, waiter, max(opens_in or LOOK_AGAIN, LEAST_WAIT))
+            queue_time = Seconds(0)  # whoever is woken is the first
+            target = self._choose(service, waiter.route, tried)
         return target
 
     def opens_in(self, service: ServiceId) -> Seconds | None:
@@ -117,26 +118,31 @@
         """Count a caller's request for a service, which earns it extra sends."""
         self._budget(service).earn()
 
-    def spend_extra(self, service: ServiceId) -> bool:
+    def spend_extra(self, service: ServiceId, kind: ExtraSend) -> bool:
         """Take one extra send from a service's budget; False when it is spent."""
-        return self._budget(service).spend()
+        budget = self._budget(service)
+        match kind:
+            case ExtraSend.RETRY:
+                return budget.spend()
+            case ExtraSend.HEDGE:
+                return may_hedge(budget) and budget.spend()
 
     def note_sent(self, target: Registration) -> CallId:
         """Count a request that is about to be sent, and return its number."""
         call = CallId(next(self._numbers))
-        self._find(target).calls[call] = Seconds(read_clock())
+        self._find(target).calls[call] = _now()
         return call
 
     def note_reply(
         self, target: Registration, call: CallId, route: Route, reply: UpstreamReply
     ) -> None:
         """Learn from a whole reply."""
-        now = Seconds(read_clock())
+        now = _now()
         replica, sent = self._end(target, call, now)
         if reply.is_success:
             took = Seconds(now - sent)
             replica.note_success(took / self._usual(route), sent, now)
-            self._recent(route).record(took)
+            self._recent(route).record(took, now)
         elif reply.is_foreign:
             replica.note_failure(Failure.FOREIGN, sent, now)
         elif reply.outcome is Outcome.NOT_RUN:
@@ -148,20 +154,40 @@
         self, target: Registration, call: CallId, route: Route, error: UpstreamError
     ) -> None:
         """Learn from a request that got no reply."""
-        now = Seconds(read_clock())
+        now = _now()
         replica, sent = self._end(target, call, now)
-        unreachable = error.reason is Reason.UPSTREAM_UNREACHABLE
-        failure = Failure.UNREACHABLE if unreachable else Failure.LOST
-        replica.note_failure(failure, sent, now)
+        ratio = (now - sent) / self._usual(route)
+        match error.reason:
+            case Reason.UPSTREAM_UNREACHABLE:
+                replica.note_failure(Failure.UNREACHABLE, sent, now)
+            case Reason.DEADLINE if ratio < SILENT_RATIO:
+                replica.note_slow(ratio, now)  # it was given too little time
+            case _:
+                replica.note_failure(Failure.LOST, sent, now)
 
     def note_dropped(self, target: Registration, call: CallId, route: Route) -> None:
         """Learn from a request whose reply nobody waits for any more."""
-        now = Seconds(read_clock())
+        now = _now()
         replica, sent = self._end(target, call, now)
         ratio = (now - sent) / self._usual(route)
         if ratio > replica.slowness:
             replica.note_slow(ratio, now)
 
+    def _choose(
+        self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
+    ) -> Registration | None:
+        """Return the upstream to send to next, None when none can take work now."""
+        now = _now()
+        targets = {
+            target.upstream: target
+            for target in self._directory.replicas(service)
+            if target.upstream not in tried
+        }
+        replicas = [self._find(target) for target in targets.values()]
+        usual = self._usual(route)
+        chosen = choose_replica(replicas, self._zone, usual, now)
+        return None if chosen is None else targets[chosen.upstream]
+
     async def _wait(
         self, service: ServiceId, waiter: Waiter, opens_in: Seconds
     ) -> None:
@@ -171,20 +197,24 @@
         waiting = self._waiting[service]
         waiting[room] = waiter
         try:
-            async with asyncio.timeout(min(left, max(opens_in, LOOK_AGAIN))):
+            async with asyncio.timeout(min(left, opens_in)):
                 await room
         except TimeoutError:
             return
         finally:
             del waiting[room]
 
-    def _queue_time(self, service: ServiceId, waiter: Waiter, now: Seconds) -> Seconds:
+    def _queue_time(self, service: ServiceId, waiter: Waiter) -> Seconds:
         """Return the seconds until those that go before a waiter are sent."""
+        waiting = self._waiting[service]
+        if not waiting:
+            return Seconds(0)
+        now = _now()
         rank = rank_waiter(waiter, self._usual(waiter.route), now)
         usual = [
             self._usual(each.route)
-            for each in self._waiting[service].values()
-            if rank_waiter(each, self._usual(each.route), now) < rank
+            for each in waiting.values()
+            if rank_waiter(each, self._usual(each.route), now) <= rank
         ]
         replicas = [self._find(each) for each in self._directory.replicas(service)]
         room = sum(each.window.limit for each in replicas)
@@ -192,7 +222,7 @@
 
     def _wake(self, service: ServiceId) -> None:
         """Let the first of those that wait for a service look for room."""
-        now = Seconds(read_clock())
+        now = _now()
         waiting = [
             (rank_waiter(waiter, self._usual(waiter.route), now), number, room)
             for number, (room, waiter) in enumerate(self._waiting[service].items())
@@ -222,7 +252,7 @@
         return self._latencies.setdefault(route.route, RecentLatency())
 
     def _usual(self, route: Route) -> Seconds:
-        learned = self._recent(route).measure(USUAL_QUANTILE)
+        learned = self._recent(route).measure_usual()
         if learned is None:
             return Seconds(max(LEAST_USUAL, route.objective * USUAL_PART))
         return Seconds(max(LEAST_USUAL, learned))
@@ -237,3 +267,7 @@
 
     def _forget(self, upstream: UpstreamId) -> None:
         self._replicas.pop(upstream, None)
+
+
+def _now() -> Seconds:
+    return Seconds(read_clock())
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, nullcontext
 from dataclasses import dataclass, field
 from itertools import count
 from types import TracebackType
@@ -42,7 +42,8 @@
 class FakeUpstream:
     """An upstream that counts what reaches it and behaves as it is told.
 
-    `work` is what a request takes; `pause_until` delays every reply until then.
+    `work` is what a request takes; `pause_until` delays every reply until then; `gate`
+    bounds what runs at once.
     """
 
     name: str
@@ -62,6 +63,7 @@
     budgets: list[float] = field(default_factory=list)
     broken_off: int = 0
     running: int = 0
+    gate: asyncio.Semaphore | None = None
     open_lines: int = 0
 
     def register(self, **changes: object) -> bytes:
@@ -128,7 +130,8 @@
         server = self._upstream
         if server.is_dark:
             await asyncio.Event().wait()
-        await asyncio.sleep(max(server.work, server.pause_until - loop.time()))
+        async with server.gate or nullcontext():
+            await asyncio.sleep(max(server.work, server.pause_until - loop.time()))
 
     def _reply(self, status, outcome):
         server = self._upstream
--- /dev/null
+++ b/tests/test_edge_loads.py
@@ -0,0 +1,199 @@
+"""Load patterns of the users' platform, replayed on virtual time."""
+
+import asyncio
+from collections import Counter
+
+from rattanspoke.model import Merged, Refused, Relayed
+
+from .edges import SETTLE, Edge, one_route, shard_route
+
+SHARDS = tuple(f'shard-{number}' for number in range(10))
+
+
+async def replay(edge, rate, seconds, **ask):
+    """Ask at an even rate, hosts in turn; return answers with the time they took."""
+    loop = asyncio.get_running_loop()
+    hosts = list(edge.kernels)
+    outcomes = []
+
+    async def ask_once(number):
+        began = loop.time()
+        answer = await edge.ask(hosts[number % len(hosts)], **ask)
+        outcomes.append((answer, loop.time() - began))
+
+    asking = []
+    for number in range(int(rate * seconds)):
+        asking.append(asyncio.ensure_future(ask_once(number)))
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*asking)
+    return outcomes
+
+
+def share_in_time(outcomes, kind, limit):
+    """Return the share of answers of a kind that came within a limit."""
+    good = [took for answer, took in outcomes if isinstance(answer, kind)]
+    return sum(took <= limit for took in good) / len(outcomes)
+
+
+def arrivals(edge, service):
+    """Return the requests that each upstream of a service got."""
+    return [len(each.arrivals) for each in edge.by_service[service]]
+
+
+def forget_arrivals(edge):
+    """Count arrivals from now on."""
+    for upstream in edge.upstreams.values():
+        upstream.arrivals.clear()
+
+
+def test_slow_upstream_loses_its_traffic_and_gets_it_back(run):
+    """Eleven times slower for 8 s: a small share meanwhile, its part afterwards."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', work=0.02)
+            edge.configure(one_route('one', targetLatencyMs=100))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 60, 2)
+            slow = edge.by_service['one'][0]
+            slow.work = 0.22
+            await replay(edge, 60, 0.5)
+            forget_arrivals(edge)
+            outcomes = await replay(edge, 60, 6)
+            assert len(slow.arrivals) < 0.1 * 360
+            assert share_in_time(outcomes, Relayed, 0.1) > 0.98
+            slow.work = 0.02
+            await replay(edge, 60, 4)
+            forget_arrivals(edge)
+            await replay(edge, 60, 2)
+            assert len(slow.arrivals) > 0.2 * 120
+
+    run(scene())
+
+
+def test_upstream_that_fails_fast_does_not_look_idle(run):
+    """Failing at once, it would draw all traffic; it gets a small part of it."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', work=0.02)
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 60, 1)
+            failing = edge.by_service['one'][1]
+            failing.fails, failing.work = True, 0.0005
+            forget_arrivals(edge)
+            outcomes = await replay(edge, 100, 5)
+            assert len(failing.arrivals) < 0.1 * 500
+            assert share_in_time(outcomes, Relayed, 0.2) > 0.99
+            bad = [each for each in outcomes if not each[0].reply.is_success]
+            assert not bad, (len(bad), bad[:3])
+
+    run(scene())
+
+
+def test_dark_upstream_costs_no_answer(run):
+    """One that takes requests and never answers is found and left alone."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', work=0.02)
+            edge.configure(one_route('one', targetLatencyMs=200))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 60, 1)
+            dark = edge.by_service['one'][2]
+            dark.is_dark = True
+            forget_arrivals(edge)
+            outcomes = await replay(edge, 60, 5)
+            assert share_in_time(outcomes, Relayed, 0.2) > 0.98
+            assert len(dark.arrivals) < 0.05 * 300
+
+    run(scene())
+
+
+def test_shedding_upstream_is_given_a_pause(run):
+    """One that says it is full is asked less, and no request is lost to it."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', work=0.02)
+            edge.configure(one_route('one', routeType='non_idempotent'))
+            await asyncio.sleep(SETTLE)
+            shedding = edge.by_service['one'][0]
+            shedding.sheds = True
+            outcomes = await replay(edge, 100, 4)
+            assert share_in_time(outcomes, Relayed, 0.2) > 0.99
+            assert len(shedding.arrivals) < 0.2 * 400
+
+    run(scene())
+
+
+def test_shard_with_too_few_replicas_does_not_delay_the_others(run):
+    """Two replicas of a shard are ten times slower and the third cannot take it all.
+
+    Searches are answered in time without that shard, and the good replica goes on
+    answering in time what it is sent.
+    """
+
+    async def scene():
+        async with Edge(hosts=4) as edge:
+            for shard in SHARDS:
+                edge.add_service(shard, work=0.025, slots=4)
+            edge.configure(shard_route(SHARDS, minimum=0.89))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 100, 1, path='/all/x')
+            for upstream in edge.by_service[SHARDS[0]][:2]:
+                upstream.work = 0.25
+            outcomes = await replay(edge, 200, 4, path='/all/x')
+            assert share_in_time(outcomes, Merged, 0.18) > 0.98
+            late = outcomes[len(outcomes) // 2 :]
+            complete = sum(answer.missing == 0 for answer, _ in late)
+            assert complete > 0.3 * len(late)
+
+    run(scene())
+
+
+def test_burst_is_turned_away_and_leaves_nothing_behind(run):
+    """Three times what upstreams bear: the rest is refused, and all is well after it."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', work=0.05, slots=4)
+            route = one_route('one', targetLatencyMs=200, timeoutMs=400)
+            edge.configure(route, maxConnections=30)
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 100, 1, limit=0.4)
+            for upstream in edge.by_service['one']:
+                upstream.gate = asyncio.Semaphore(4)
+            burst = await replay(edge, 720, 4, limit=0.4)
+            kinds = Counter(type(answer) for answer, _ in burst)
+            # 12 slots of 50 ms bear 240 a second: a third of what is asked.
+            assert kinds[Relayed] > 0.28 * len(burst)
+            assert kinds[Refused] > 0.4 * len(burst)
+            after = await replay(edge, 100, 2, limit=0.4)
+            assert share_in_time(after[50:], Relayed, 0.2) == 1
+
+    run(scene())
+
+
+def test_higher_priority_goes_first_when_room_is_short(run):
+    """Under a burst the less urgent route waits; the urgent one is served in time."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', work=0.05, slots=4)
+            edge.configure(
+                one_route('one', '/urgent/', priority=0, targetLatencyMs=300),
+                one_route('one', '/other/', priority=5, targetLatencyMs=300),
+            )
+            await asyncio.sleep(SETTLE)
+            for upstream in edge.by_service['one']:
+                upstream.gate = asyncio.Semaphore(4)
+            urgent, other = await asyncio.gather(
+                replay(edge, 80, 4, path='/urgent/x'),
+                replay(edge, 400, 4, path='/other/x'),
+            )
+            assert share_in_time(urgent, Relayed, 0.3) > 0.95
+            assert share_in_time(other, Relayed, 0.3) < 0.9
+
+    run(scene())
--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,418 @@
+"""The platform's adapter over real sockets on the loopback."""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+
+import pytest
+
+from rattanspoke.model import (
+    NO_REVISION,
+    CallerRequest,
+    Outcome,
+    PlatformConflict,
+    PlatformHistoryGone,
+    PlatformReplyLost,
+    PlatformUnavailable,
+    Reason,
+    RequestId,
+    Seconds,
+    UpstreamError,
+    UpstreamId,
+)
+from rattanspoke.platform import HttpConnections, HttpStore
+from rattanspoke.services import HostCounters
+
+LIMIT = Seconds(5)  # for calls that are to succeed; no test waits for it
+SHORT = Seconds(0.05)  # for calls that are to run out of time
+UPSTREAM = UpstreamId('i-1')
+
+
+class Script:
+    """A server that answers each request with the next of some bytes.
+
+    None breaks the connection off with a reset; bytes that end in `CLOSE` are followed
+    by the end of the connection.
+    """
+
+    CLOSE = b'\0close'
+
+    def __init__(self, *answers):
+        self.answers = deque(answers)
+        self.requests = []
+        self.connections = 0
+        self._server = None
+        self.address = ''
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        return self
+
+    async def __aexit__(self, *error):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            length = [
+                int(line.split(b':')[1])
+                for line in head.split(b'\r\n')
+                if line.lower().startswith(b'content-length')
+            ]
+            body = await reader.readexactly(length[0]) if length else b''
+            self.requests.append((head, body))
+            answer = self.answers.popleft()
+            if answer is None:
+                reset(writer)
+                return
+            writer.write(answer.removesuffix(self.CLOSE))
+            if answer.endswith(self.CLOSE):
+                writer.close()
+                return
+
+
+def reset(writer):
+    """End a connection so that the other end sees a reset and no orderly end."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+def answer(body=b'', status='200 OK', **headers):
+    """Return the bytes of an answer with a length."""
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
+    lines += [f'{name.replace("_", "-")}: {value}' for name, value in headers.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+def make_request(method='GET', body=b'', headers=(), attempt='a-1'):
+    """Return a caller's request."""
+    return CallerRequest(
+        attempt=RequestId(attempt),
+        method=method,
+        target='/one/x%20y?q=1&r',
+        authority='jobs.example',
+        headers=(
+            (b'host', b'jobs.example'),
+            (b'rattanspoke-attempt-id', attempt.encode()),
+            *headers,
+        ),
+        body=body,
+        deadline=Seconds(0),
+        arrived=Seconds(0),
+    )
+
+
+async def exchange(script, *requests, budget=LIMIT):
+    """Send requests on one connection and return the replies or errors."""
+    outcomes = []
+    async with await HttpConnections().open(script.address, LIMIT) as line:
+        for request in requests:
+            try:
+                reply = await line.exchange(request, UPSTREAM, budget)
+            except UpstreamError as error:
+                outcomes.append(error)
+            else:
+                outcomes.append((reply, line.is_reusable, line.kept_for))
+    return outcomes
+
+
+def test_request_is_forwarded_unchanged():
+    """Method, path, query, body and end-to-end headers arrive as the caller sent them."""
+
+    async def scene():
+        async with Script(answer(b'done', Rattanspoke_Server_Seal='s.1')) as script:
+            request = make_request(
+                'POST',
+                b'body',
+                (
+                    (b'x-kept', b'1'),
+                    (b'connection', b'keep-alive'),
+                    (b'rattanspoke-time-budget', b'99999'),
+                    (b'rattanspoke-target-instance', b'other'),
+                ),
+            )
+            [(reply, _, _)] = await exchange(script, request, budget=Seconds(1.5))
+            [(head, body)] = script.requests
+            lines = head.split(b'\r\n')
+            assert lines[0] == b'POST /one/x%20y?q=1&r HTTP/1.1'
+            assert body == b'body'
+            assert b'x-kept: 1' in lines
+            assert b'Rattanspoke-Time-Budget: 1500' in lines
+            assert b'Rattanspoke-Target-Instance: i-1' in lines
+            lowered = head.lower()
+            assert lowered.count(b'rattanspoke-time-budget') == 1
+            assert lowered.count(b'rattanspoke-target-instance') == 1
+            assert b'connection:' not in lowered
+            assert reply.is_success
+            assert reply.seal == 's.1'
+            assert reply.body == b'done'
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ('sent', 'outcome'),
+    [
+        (answer(status='503 Full', Rattanspoke_Not_Executed='1'), Outcome.NOT_RUN),
+        (answer(status='421 Misdirected Request'), Outcome.NOT_RUN),
+        (answer(status='503 Full'), Outcome.RAN),
+        (answer(status='500 Broken', Rattanspoke_Server_Seal='s'), Outcome.RAN),
+    ],
+)
+def test_only_the_upstreams_word_proves_not_run(sent, outcome):
+    """A refusal counts as not run only where the upstream says so."""
+
+    async def scene():
+        async with Script(sent) as script:
+            [(reply, _, _)] = await exchange(script, make_request())
+            assert reply.outcome is outcome
+            assert not reply.is_success
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        None,
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf' + Script.CLOSE,
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf'
+        + Script.CLOSE,
+        b'neither HTTP nor anything\r\n\r\n',
+        answer(b'packed', Content_Encoding='gzip'),
+        Script.CLOSE,
+    ],
+)
+def test_broken_answers_are_unknown(sent):
+    """An answer that is not whole, or not the upstream's, may have been run."""
+
+    async def scene():
+        async with Script(sent) as script:
+            [error] = await exchange(script, make_request())
+            assert error.outcome is Outcome.UNKNOWN
+            assert error.reason is Reason.REPLY_BROKEN
+
+    asyncio.run(scene())
+
+
+def test_answer_without_length_ends_with_the_connection():
+    """Such an answer is whole at the orderly end; nothing more is sent on the line."""
+
+    async def scene():
+        sent = b'HTTP/1.1 200 OK\r\nRattanspoke-Server-Seal: s\r\n\r\nall of it'
+        async with Script(sent + Script.CLOSE) as script:
+            [(reply, is_reusable, _)] = await exchange(script, make_request())
+            assert reply.body == b'all of it'
+            assert not is_reusable
+
+    asyncio.run(scene())
+
+
+def test_answer_without_length_that_is_reset_is_not_whole():
+    """A reset ends it early, which must not look complete."""
+    broke_off = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+        await writer.drain()
+        await asyncio.sleep(0.05)  # so that the first bytes are read before the reset
+        reset(writer)
+        broke_off.set()
+
+    async def scene():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        async with await HttpConnections().open(f'{host}:{port}', LIMIT) as line:
+            asking = asyncio.ensure_future(
+                line.exchange(make_request(), UPSTREAM, LIMIT)
+            )
+            await broke_off.wait()
+            with pytest.raises(UpstreamError) as caught:
+                await asking
+        assert caught.value.outcome is Outcome.UNKNOWN
+        server.close()
+
+    asyncio.run(scene())
+
+
+def test_late_answer_to_another_request_is_dropped():
+    """An answer that names another attempt is passed over; the right one counts."""
+
+    async def scene():
+        late = answer(b'late', Rattanspoke_Attempt_Id='a-0')
+        right = answer(b'right', Rattanspoke_Attempt_Id='a-1')
+        async with Script(late + right) as script:
+            [(reply, is_reusable, _)] = await exchange(script, make_request())
+            assert reply.body == b'right'
+            assert not is_reusable
+
+    asyncio.run(scene())
+
+
+def test_bytes_after_an_answer_end_the_connections_use():
+    """Nothing is sent on a connection that is out of step."""
+
+    async def scene():
+        async with Script(answer(b'one') + answer(b'extra')) as script:
+            outcomes = await exchange(script, make_request(), make_request())
+            assert outcomes[0][0].body == b'one'
+            assert outcomes[1].outcome is Outcome.NOT_RUN
+            assert len(script.requests) == 1
+
+    asyncio.run(scene())
+
+
+def test_interim_answer_is_passed_over():
+    """A 1xx status announces the answer and is not it."""
+
+    async def scene():
+        sent = b'HTTP/1.1 103 Early Hints\r\n\r\n' + answer(b'final')
+        async with Script(sent) as script:
+            [(reply, is_reusable, _)] = await exchange(script, make_request())
+            assert reply.body == b'final'
+            assert is_reusable
+
+    asyncio.run(scene())
+
+
+def test_connection_is_kept_as_the_upstream_says():
+    """Keep-Alive tells for how long; Connection: close ends the use."""
+
+    async def scene():
+        kept = answer(Keep_Alive='timeout=7, max=9')
+        last = answer(Connection='close')
+        async with Script(kept, last) as script:
+            first, second = await exchange(script, make_request(), make_request())
+            assert first[1:] == (True, 7)
+            assert second[1] is False
+
+    asyncio.run(scene())
+
+
+def test_time_that_runs_out_is_unknown():
+    """A request without an answer in time may have run."""
+
+    async def scene():
+        async with Script(b'') as script:
+            [error] = await exchange(script, make_request(), budget=SHORT)
+            assert error.reason is Reason.DEADLINE
+            assert error.outcome is Outcome.UNKNOWN
+
+    asyncio.run(scene())
+
+
+def test_refused_connection_is_not_run():
+    """Nothing was sent where nobody listens."""
+
+    async def scene():
+        async with Script() as script:
+            address = script.address
+        with pytest.raises(UpstreamError) as caught:
+            await HttpConnections().open(address, LIMIT)
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    asyncio.run(scene())
+
+
+async def use_store(script, call):
+    """Make one call of the store."""
+    async with HttpStore(script.address, HostCounters()) as store:
+        return await call(store)
+
+
+def test_listing_takes_every_page():
+    """Pages are read on until none is left; the first one's revision counts."""
+
+    async def scene():
+        first = b'{"items":[{"meta":{"name":"a","revision":3},"spec":{"x":1}}],'
+        second = b'{"items":[{"meta":{"name":"b","revision":4}}],"asOf":9}'
+        async with Script(
+            answer(first + b'"more":true,"asOf":7}'), answer(second)
+        ) as script:
+            listing = await use_store(
+                script, lambda store: store.list_kind('registrations')
+            )
+            assert listing.revision == 7
+            assert [each.name for each in listing.objects] == ['a', 'b']
+            assert listing.objects[0].content == b'{"x":1}'
+            paths = [head.split()[1] for head, _ in script.requests]
+            assert paths == [b'/-/objects/servers', b'/-/objects/servers?after=a']
+            assert script.connections == 1
+
+    asyncio.run(scene())
+
+
+def test_watch_returns_changes_and_deletions():
+    """An event of a deleted object has no content."""
+
+    async def scene():
+        content = (
+            b'{"events":[{"object":{"meta":{"name":"a","revision":3},"spec":{}},'
+            b'"deleted":true},{"object":{"meta":{"name":"b","revision":4},'
+            b'"spec":{}},"deleted":false}],"asOf":5}'
+        )
+        async with Script(answer(content)) as script:
+            changes = await use_store(
+                script, lambda store: store.watch_kind('hosts', 2, Seconds(1.5))
+            )
+            assert changes.revision == 5
+            assert [each.content for each in changes.objects] == [None, b'{}']
+            [(head, _)] = script.requests
+            assert head.split()[1] == b'/-/objects/hosts?watch=2&waitMs=1500'
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ('sent', 'error'),
+    [
+        (answer(status='410 Gone'), PlatformHistoryGone),
+        (answer(status='429 Too Many'), PlatformUnavailable),
+        (answer(status='503 Down'), PlatformUnavailable),
+        (answer(b'{"items": 3'), PlatformUnavailable),
+        (None, PlatformUnavailable),
+    ],
+)
+def test_failed_read_tells_why(sent, error):
+    """History that is gone is told from a store that does not answer."""
+
+    async def scene():
+        async with Script(sent) as script:
+            with pytest.raises(error):
+                await use_store(
+                    script, lambda store: store.watch_kind('hosts', 2, Seconds(0))
+                )
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ('sent', 'error'),
+    [
+        (answer(status='409 Conflict'), PlatformConflict),
+        (answer(status='503 Down'), PlatformUnavailable),
+        (None, PlatformReplyLost),
+    ],
+)
+def test_failed_write_tells_whether_it_may_have_run(sent, error):
+    """A lost reply is told from a refusal, and nothing is repeated."""
+
+    async def scene():
+        async with Script(sent) as script:
+            with pytest.raises(error):
+                await use_store(
+                    script,
+                    lambda store: store.write('hosts', 'a', b'{}', NO_REVISION),
+                )
+            assert len(script.requests) == 1
+
+    asyncio.run(scene())
