--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -135,7 +135,9 @@
     Throttle,
 )
 from ._topology import (
+    FOLLOWERS,
     STALE_AGE,
+    WATCH_WAIT,
     choose_followers,
     choose_links,
 )
@@ -155,6 +157,7 @@
     'DIGEST_LENGTH',
     'DIGITS',
     'ENOUGH_SAMPLES',
+    'FOLLOWERS',
     'GONE_AFTER',
     'HALF_LIFE',
     'HEADROOM',
@@ -191,6 +194,7 @@
     'UNKNOWN_LATENCY',
     'UNKNOWN_LIFE',
     'UNUSABLE',
+    'WATCH_WAIT',
     'WINDOW',
     'Absences',
     'Adoption',
--- a/src/rattanspoke/decisions/_topology.py
+++ b/src/rattanspoke/decisions/_topology.py
@@ -14,7 +14,12 @@
 
 LINKS_PER_ZONE = 2  # hosts of every other zone that a host exchanges pulses with
 FOLLOWERS = 2  # hosts of the fleet that wait on the store while all is well
-STALE_AGE = Seconds(1.6)  # of the newest word of the store, after which all ask it
+# Seconds that a follower's watch may last while nothing changes. It may fall silent
+# unseen, so that its end is what proves the connection.
+WATCH_WAIT = Seconds(1.5)
+# Age of the newest word of the store after which every host asks it: a watch, a pulse
+# and some delay. Changes are to be in force within 3 s.
+STALE_AGE = Seconds(2.1)
 
 
 def rank_by_zone(hosts: Mapping[HostId, ZoneId]) -> dict[ZoneId, list[HostId]]:
--- a/src/rattanspoke/services/_follower.py
+++ b/src/rattanspoke/services/_follower.py
@@ -7,6 +7,7 @@
 import structlog
 
 from ..contracts import COUNTERS, NEWS, OBJECT_STORE, SHARED_STATE, Metric
+from ..decisions import WATCH_WAIT
 from ..kernel import Kernel
 from ..model import (
     NO_REVISION,
@@ -17,9 +18,6 @@
 )
 from ._tasks import TaskOwner, read_clock
 
-# A watch may fall silent unseen, so that its end is what proves the connection. With a
-# call's own limit this stays within the 3 s in which changes are to be in force.
-WATCH_WAIT = Seconds(1.8)
 FIRST_BACKOFF = Seconds(0.1)
 # Changes come in bursts, and each call is dear: the next watch takes several at once.
 GATHER_TIME = Seconds(0.15)
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -1,4 +1,4 @@
-"""Hosts on the users' platform in one process: real services, stand-ins, virtual time."""
+"""Hosts on the users' platform in one process: real services and stand-ins."""
 
 import asyncio
 from collections import defaultdict
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rattanspoke.contracts import FLEET, NEWS, SHARED_STATE
+from rattanspoke.decisions import FOLLOWERS, WATCH_WAIT
 from rattanspoke.model import (
     Failed,
     Merged,
@@ -13,6 +14,7 @@
     Refused,
     Rejected,
     Relayed,
+    StateKind,
 )
 
 from .edges import SETTLE, Edge, one_route, shard_route
@@ -322,7 +324,7 @@
 
 
 def test_host_that_starts_without_the_store_learns_from_a_seed(run):
-    """A host with nothing, in an outage, gets the whole state from a host it was told."""
+    """A host with nothing, in an outage, gets the whole state from a seed."""
 
     async def scene():
         async with Edge(hosts=2) as edge:
@@ -389,7 +391,7 @@
 
 
 def test_entries_that_lapse_with_the_store_are_held(run):
-    """Upstreams whose entries vanished in an outage keep their work until they return."""
+    """Upstreams whose entries vanished in an outage keep their work for a while."""
 
     async def scene():
         async with Edge(hosts=3) as edge:
@@ -416,3 +418,19 @@
             assert not gone.arrivals
 
     run(scene())
+
+
+def test_calls_to_the_store_do_not_grow_with_the_fleet(run):
+    """While nothing changes, six hosts make no more calls than the two that follow."""
+
+    async def scene():
+        async with Edge(hosts=6) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            edge.store.calls.clear()
+            await asyncio.sleep(30)
+            watches = len(StateKind) * FOLLOWERS * 30 / WATCH_WAIT
+            assert sum(edge.store.calls.values()) <= watches
+
+    run(scene())
--- /dev/null
+++ b/tests/test_edge_decisions.py
@@ -0,0 +1,262 @@
+"""Decisions of the users' platform by themselves: routes, merging, limits, waiting."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanspoke.decisions import (
+    Absences,
+    AnswerWhenEnough,
+    ConcurrencyLimit,
+    RecentLatency,
+    RouteTable,
+    WaitForAll,
+    WeightSpread,
+    choose_followers,
+    choose_hedge_delay,
+    choose_hold,
+    choose_links,
+    choose_patience,
+    count_needed,
+    is_waiting_useful,
+    make_extra_budget,
+    may_hedge,
+    merge_records,
+    plan_answer,
+    rank_waiter,
+)
+from rattanspoke.model import (
+    CallerLimits,
+    DesiredState,
+    OneService,
+    Registration,
+    RegistrationState,
+    Repeatability,
+    Revision,
+    Route,
+    RouteId,
+    Seconds,
+    ServiceId,
+    ShardSet,
+    UpstreamId,
+    Waiter,
+    WeightedService,
+    ZoneId,
+)
+
+LIMITS = CallerLimits(
+    header_bytes=1, body_bytes=1, header_time=Seconds(1), idle_time=Seconds(1)
+)
+
+
+def make_route(prefix='/a/', authority='jobs.example', **changes):
+    """Return a route to one service."""
+    values = {
+        'route': RouteId(prefix),
+        'authority': authority,
+        'prefix': prefix,
+        'destination': OneService(ServiceId('one')),
+        'repeatability': Repeatability.IDEMPOTENT,
+        'time_limit': Seconds(1.5),
+        'objective': Seconds(0.18),
+    }
+    return Route(**(values | changes))
+
+
+def make_registration(name='i-1', state=RegistrationState.READY):
+    """Return an upstream's entry."""
+    return Registration(
+        upstream=UpstreamId(name),
+        started=1,
+        service=ServiceId('one'),
+        address='10.0.0.1:80',
+        zone=ZoneId('east'),
+        slots=4,
+        state=state,
+    )
+
+
+@given(
+    st.lists(st.lists(st.binary(min_size=16, max_size=16), max_size=8), max_size=6),
+    st.integers(1, 20),
+    st.binary(max_size=15),
+)
+def test_merged_records_are_the_greatest_of_all(parts, limit, rest):
+    """They equal a sort of everything; what is shorter than a record is none."""
+    merged = merge_records([b''.join(part) + rest for part in parts], limit)
+    everything = sorted((record for part in parts for record in part), reverse=True)
+    assert merged == b''.join(everything[:limit])
+
+
+@given(st.lists(st.sampled_from('ab'), max_size=4), st.lists(st.sampled_from('ab')))
+def test_longest_prefix_wins(extra, path):
+    """The route found begins the path, and no longer one does."""
+    prefixes = ['/', '/a/', '/a/b/', '/b/'] + [
+        '/' + ''.join(f'{each}/' for each in extra)
+    ]
+    routes = tuple(make_route(prefix) for prefix in dict.fromkeys(prefixes))
+    state = DesiredState(
+        version=1, revision=Revision(1), routes=routes, services={}, limits=LIMITS
+    )
+    target = '/' + '/'.join(path)
+    found = RouteTable(state).find('jobs.example', target)
+    begins = [each.prefix for each in routes if target.startswith(each.prefix)]
+    assert found is not None
+    assert found.prefix == max(begins, key=len)
+    assert RouteTable(state).find('other.example', target) is None
+
+
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=5), st.integers(1, 200))
+def test_spread_stays_within_one_request_of_the_weights(weights, requests):
+    """After any number of requests each service has its share, give or take one."""
+    spread = WeightSpread()
+    choices = [
+        WeightedService(ServiceId(f's-{number}'), weight)
+        for number, weight in enumerate(weights)
+    ]
+    counts = {choice.service: 0 for choice in choices}
+    for _ in range(requests):
+        counts[spread.choose(RouteId('r'), choices)] += 1
+    for choice in choices:
+        share = requests * choice.weight / sum(weights)
+        assert abs(counts[choice.service] - share) <= 1
+
+
+@pytest.mark.parametrize(
+    ('total', 'least', 'needed'),
+    [(10, 0.89, 9), (15, 0.89, 14), (10, 0.75, 8), (3, 1, 3)],
+)
+def test_least_coverage_is_a_number_of_shards(total, least, needed):
+    """As few shards as reach the least share."""
+    shards = ShardSet(tuple(map(ServiceId, map(str, range(total)))), 5, least)
+    assert count_needed(shards) == needed
+
+
+def test_answer_goes_out_before_the_objective():
+    """All is waited for until then; after that only for enough."""
+    route = make_route()
+    answer_at = plan_answer(route, Seconds(10), Seconds(11))
+    assert 10.16 < answer_at < 10.18
+    assert isinstance(choose_patience(answer_at, Seconds(11), Seconds(10)), WaitForAll)
+    late = choose_patience(answer_at, Seconds(11), Seconds(10.2))
+    assert late == AnswerWhenEnough(Seconds(11))
+
+
+def test_limit_follows_the_wait_at_the_upstream():
+    """It falls once a round trip while replies wait, and grows again when used."""
+    window = ConcurrencyLimit(limit=8)
+    window.note_reply(4, 8, Seconds(1), Seconds(2))
+    assert window.limit == 6
+    window.note_reply(4, 8, Seconds(1.5), Seconds(2.1))
+    assert window.limit == 6
+    window.note_reply(4, 6, Seconds(2.5), Seconds(3))
+    assert window.limit == 4.5
+    for number in range(30):
+        window.note_reply(1, 9, Seconds(4 + number), Seconds(5 + number))
+    assert window.limit > 8
+    assert not window.allows(int(window.limit))
+    for number in range(60):
+        window.note_shed(Seconds(100 + number), Seconds(101 + number))
+    assert window.allows(0)
+    assert not window.allows(1)
+
+
+def test_waiters_in_time_go_before_late_ones():
+    """By priority, then by objective; one that is late waits for what is left."""
+    usual, now = Seconds(0.05), Seconds(10)
+    urgent = Waiter(make_route(priority=0), Seconds(10.3), Seconds(12))
+    sooner = Waiter(make_route(priority=1), Seconds(10.2), Seconds(11))
+    later = Waiter(make_route(priority=1), Seconds(10.25), Seconds(11))
+    late = Waiter(make_route(priority=0), Seconds(10.04), Seconds(10.5))
+    waiters = [late, later, urgent, sooner]
+    waiters.sort(key=lambda waiter: rank_waiter(waiter, usual, now))
+    assert waiters == [urgent, sooner, later, late]
+
+
+def test_waiting_ends_where_it_cannot_help():
+    """No upstream, a pause beyond the objective, or a queue beyond the limit."""
+    waiter = Waiter(make_route(), Seconds(10.2), Seconds(11))
+    now, none = Seconds(10), Seconds(0)
+    assert is_waiting_useful(none, none, waiter, now)
+    assert is_waiting_useful(none, Seconds(0.5), waiter, now)
+    assert not is_waiting_useful(None, none, waiter, now)
+    assert not is_waiting_useful(Seconds(0.3), none, waiter, now)
+    assert not is_waiting_useful(none, Seconds(1.5), waiter, now)
+
+
+def test_hedge_delay_is_capped_by_the_median():
+    """A tenth of slow calls moves the high quantile, but not the wait for a hedge."""
+    recent = RecentLatency()
+    assert choose_hedge_delay(recent, 1) is None
+    for number in range(200):
+        slow = number % 5 == 0
+        recent.record(Seconds(0.25 if slow else 0.02), Seconds(number / 100))
+    assert choose_hedge_delay(recent, 1) == pytest.approx(0.04)
+    assert choose_hedge_delay(recent, 0) == pytest.approx(0.1)
+
+
+def test_usual_time_ignores_a_queue():
+    """When every call takes longer than before, the usual time stays what it was."""
+    recent = RecentLatency()
+    for number in range(400):
+        recent.record(Seconds(0.02), Seconds(number / 100))
+    for number in range(600):
+        recent.record(Seconds(0.2), Seconds(4 + number / 100))
+    assert recent.measure(0.5) == 0.2
+    assert recent.measure_usual() == 0.02
+
+
+@pytest.mark.parametrize('hosts', [1, 4, 28])
+def test_budgets_of_all_hosts_stay_within_the_bound(hosts):
+    """Whatever is spent in a window, all hosts together keep to ratio and slack."""
+    budgets = [make_extra_budget(0.2, 52, hosts) for _ in range(hosts)]
+    requests, spent = 0, 0
+    for _ in range(100):
+        for budget in budgets:
+            budget.earn()
+            requests += 1
+            spent += budget.spend()
+            spent += budget.spend()
+    slack = 52 if hosts <= 44 else hosts
+    assert spent <= 0.2 * requests + slack
+
+
+def test_hedges_leave_budget_for_retries():
+    """The last quarter is not spent on hedges."""
+    budget = make_extra_budget(0.2, 52, 4)
+    hedges = 0
+    while may_hedge(budget) and budget.spend():
+        hedges += 1
+    assert hedges > 5
+    assert budget.spend()
+
+
+def test_vanished_entry_is_held_unless_it_said_it_leaves():
+    """A ready one counts for a while; a draining one and one that is back do not."""
+    hold = choose_hold(Seconds(3))
+    assert 2 <= hold < 3
+    absences = Absences(hold)
+    absences.note_vanished(make_registration('a'), Seconds(10))
+    absences.note_vanished(make_registration('b'), Seconds(10))
+    leaving = make_registration('c', RegistrationState.DRAINING)
+    absences.note_vanished(leaving, Seconds(10))
+    absences.note_present(UpstreamId('b'))
+    assert [each.upstream for each in absences.list_held()] == ['a']
+    assert absences.drop_expired(Seconds(12)) == ()
+    assert absences.drop_expired(Seconds(12.3)) == ('a',)
+    assert absences.list_held() == ()
+
+
+def test_links_grow_with_the_zone_and_not_with_the_fleet():
+    """Every host of the own zone and two of each other one; all agree on followers."""
+    zones = {
+        f'h-{zone}-{number}': ZoneId(f'z{zone}')
+        for zone in range(10)
+        for number in range(68)
+    }
+    others = {host: zone for host, zone in zones.items() if host != 'h-0-0'}
+    links = choose_links(ZoneId('z0'), others)
+    assert len(links) == 67 + 9 * 2
+    followers = choose_followers(zones)
+    assert len(followers) == 2
+    assert zones[followers[0]] != zones[followers[1]]
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -154,7 +154,7 @@
 
 
 def test_burst_is_turned_away_and_leaves_nothing_behind(run):
-    """Three times what upstreams bear: the rest is refused, and all is well after it."""
+    """Three times what upstreams bear: the rest is refused; all is well after it."""
 
     async def scene():
         async with Edge(hosts=3) as edge:
--- /dev/null
+++ b/tests/test_edge_settings.py
@@ -0,0 +1,114 @@
+"""The platform's settings file, and log lines that are bounded and never block."""
+
+import json
+import os
+
+import pytest
+import structlog
+
+from rattanspoke.model import SettingsError
+from rattanspoke.observability import configure_logs
+from rattanspoke.platform import load_host_settings
+
+SETTINGS = """
+node=front-tacoma-1
+ip=10.1.0.39
+zone=tacoma
+zones.tacoma=cascadia
+zones.everett=cascadia
+listen.front=10.1.0.39:8226
+listen.ready=10.1.0.39:8227
+listen.control=10.1.0.39:8224
+seeds=10.1.0.39:8224,10.2.0.33:8224
+bounds.graceS=6
+bounds.drainMs=3000
+bounds.retryBudgetRatio=0.2
+bounds.budgetExtraRetries=52
+platform.address=10.200.1.7:8229
+something.new=ignored
+"""
+
+
+def write(tmp_path, text):
+    """Return the path of a settings file."""
+    path = tmp_path / 'settings.conf'
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_read(tmp_path):
+    """Every value has its type and unit; what is unknown is ignored."""
+    settings = load_host_settings(write(tmp_path, SETTINGS))
+    assert settings.name == 'front-tacoma-1'
+    assert settings.host == '10.1.0.39:8224'
+    assert settings.seeds == ('10.1.0.39:8224', '10.2.0.33:8224')
+    assert settings.regions == {'tacoma': 'cascadia', 'everett': 'cascadia'}
+    assert settings.drain_time == 3
+    assert settings.retry_slack == 52
+
+
+@pytest.mark.parametrize(
+    ('text', 'reason'),
+    [
+        (SETTINGS.replace('zone=tacoma\n', ''), 'zone: is missing'),
+        (SETTINGS.replace('graceS=6', 'graceS=soon'), "graceS: 'soon' is not a number"),
+        (SETTINGS + 'no separator\n', "'no separator' is not name=value"),
+    ],
+)
+def test_unreadable_settings_name_file_key_and_reason(tmp_path, text, reason):
+    """One line says what is wrong and where."""
+    path = write(tmp_path, text)
+    with pytest.raises(SettingsError) as caught:
+        load_host_settings(path)
+    assert str(path) in str(caught.value)
+    assert reason in str(caught.value)
+    assert '\n' not in str(caught.value)
+
+
+@pytest.fixture
+def pipe():
+    """Yield the ends of a pipe, the second one as a text stream, for log lines."""
+    reading, writing = os.pipe()
+    stream = os.fdopen(writing, 'w')
+    yield reading, stream
+    structlog.reset_defaults()
+    stream.close()
+    os.close(reading)
+
+
+def test_repeated_lines_are_dropped_and_counted(pipe):
+    """A burst of one event is cut; another event still gets through."""
+    reading, stream = pipe
+    configure_logs('info', stream)
+    log = structlog.get_logger()
+    for number in range(500):
+        log.info('burst', number=number)
+    log.info('other')
+    lines = [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
+    assert 100 <= sum(line['event'] == 'burst' for line in lines) < 200
+    assert lines[-1]['event'] == 'other'
+
+
+def test_reader_that_stalls_does_not_block_the_host(pipe):
+    """With the pipe full, lines are dropped; whole lines come out when it is read."""
+    reading, stream = pipe
+    configure_logs('info', stream)
+    log = structlog.get_logger()
+    for number in range(300):
+        log.info(f'event {number}', filler='x' * 1000)
+    content = b''
+    while chunk := _read_available(reading):
+        content += chunk
+        log.info('after the stall')
+    lines = content.splitlines()[:-1]
+    assert len(lines) < 300
+    for line in lines:
+        json.loads(line)
+
+
+def _read_available(descriptor):
+    os.set_blocking(descriptor, False)
+    try:
+        return os.read(descriptor, 1 << 16)
+    except BlockingIOError:
+        return b''
--- /dev/null
+++ b/tests/test_platform_front.py
@@ -0,0 +1,233 @@
+"""What callers and the balancer are told, as ASGI messages."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from rattanspoke.contracts import COUNTERS, ENTRY, LIFECYCLE, SHARED_STATE
+from rattanspoke.kernel import Kernel
+from rattanspoke.model import (
+    CallerLimits,
+    DesiredState,
+    Failed,
+    Merged,
+    Outcome,
+    Reason,
+    Refused,
+    Rejected,
+    Relayed,
+    Revision,
+    Seconds,
+    UpstreamId,
+    UpstreamReply,
+)
+from rattanspoke.platform import make_caller_app, make_probe_app
+from rattanspoke.services import HostCounters, HostLifecycle
+
+LIMITS = CallerLimits(
+    header_bytes=500, body_bytes=10, header_time=Seconds(3), idle_time=Seconds(15)
+)
+
+
+@dataclass
+class FakeState:
+    """The shared state of a host that knows a desired state, or none."""
+
+    desired: DesiredState | None = field(
+        default_factory=lambda: DesiredState(
+            version=1, revision=Revision(1), routes=(), services={}, limits=LIMITS
+        )
+    )
+
+    @property
+    def is_complete(self):
+        """Whether the host knows what it needs to serve."""
+        return self.desired is not None
+
+
+@dataclass
+class FakeEntry:
+    """An entry that gives one answer, or never ends while there is none."""
+
+    answer: object = None
+    requests: list = field(default_factory=list)
+    was_cancelled: bool = False
+
+    async def serve(self, request):
+        """Return the answer."""
+        self.requests.append(request)
+        if self.answer is None:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.was_cancelled = True
+                raise
+        return self.answer
+
+
+@pytest.fixture
+def entry():
+    """Return the entry that the application asks."""
+    return FakeEntry()
+
+
+@pytest.fixture
+def kernel(entry):
+    """Return a kernel with what the front uses."""
+    kernel = Kernel()
+    kernel.provide(COUNTERS, HostCounters())
+    kernel.provide(LIFECYCLE, HostLifecycle())
+    kernel.provide(SHARED_STATE, FakeState())
+    kernel.provide(ENTRY, entry)
+    return kernel
+
+
+def call(app, *, path=b'/a/x', headers=(), messages=(), query=b''):
+    """Return status, headers and body of one request; None when nothing was sent."""
+    sent = []
+    incoming = list(messages) or [{'type': 'http.request', 'body': b''}]
+
+    async def receive():
+        if incoming:
+            return incoming.pop(0)
+        await asyncio.Event().wait()
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': 'GET',
+        'path': path.decode(),
+        'raw_path': path,
+        'query_string': query,
+        'headers': [(b'host', b'Jobs.Example:80'), *headers],
+    }
+
+    async def scene():
+        async with asyncio.timeout(10):
+            await app(scope, receive, send)
+
+    asyncio.run(scene())
+    if not sent:
+        return None
+    return sent[0]['status'], dict(sent[0]['headers']), sent[1]['body']
+
+
+def test_request_reaches_the_entry_as_it_was_sent(kernel, entry):
+    """Path and query byte for byte, the host name in lower case without its port."""
+    entry.answer = Rejected(Reason.UNKNOWN_ROUTE)
+    status, _, _ = call(
+        make_caller_app(kernel),
+        path=b'/a%20b/',
+        query=b'q=%41',
+        headers=[
+            (b'rattanspoke-attempt-id', b'a-1'),
+            (b'rattanspoke-time-budget', b'1500'),
+        ],
+    )
+    [request] = entry.requests
+    assert status == 404
+    assert request.target == '/a%20b/?q=%41'
+    assert request.path == '/a%20b/'
+    assert request.authority == 'jobs.example'
+    assert request.attempt == 'a-1'
+    assert request.deadline - request.arrived == pytest.approx(1.5)
+
+
+def test_merged_answer_names_its_parts(kernel, entry):
+    """Seals of the covered shards, the number of missing ones, and the records."""
+    entry.answer = Merged(seals=('s.1', 's.2'), missing=1, body=b'records')
+    status, headers, body = call(make_caller_app(kernel))
+    assert status == 200
+    assert headers[b'rattanspoke-part-stamps'] == b's.1, s.2'
+    assert headers[b'rattanspoke-missing-parts'] == b'1'
+    assert headers[b'content-length'] == b'7'
+    assert body == b'records'
+
+
+def test_upstreams_answer_is_handed_on(kernel, entry):
+    """Status, body and end-to-end headers; those of its connection stay behind."""
+    entry.answer = Relayed(
+        UpstreamReply(
+            upstream=UpstreamId('i-1'),
+            status=500,
+            headers=((b'x-kept', b'1'), (b'keep-alive', b'timeout=5')),
+            body=b'broken',
+            outcome=Outcome.RAN,
+        )
+    )
+    status, headers, body = call(make_caller_app(kernel))
+    assert (status, body) == (500, b'broken')
+    assert headers[b'x-kept'] == b'1'
+    assert b'keep-alive' not in headers
+
+
+@pytest.mark.parametrize(
+    ('answer', 'status', 'promises'),
+    [
+        (Refused(Reason.OVERLOADED, Seconds(0.25)), 503, True),
+        (Failed(Reason.REPLY_BROKEN), 502, False),
+        (Failed(Reason.DEADLINE), 504, False),
+    ],
+)
+def test_only_a_refusal_promises_not_run(kernel, entry, answer, status, promises):
+    """It says when to come back, in fractions; failures promise nothing."""
+    entry.answer = answer
+    got, headers, _ = call(make_caller_app(kernel))
+    assert got == status
+    assert (b'retry-after' in headers) == promises
+    if promises:
+        assert headers[b'retry-after'] == b'0.250'
+
+
+@pytest.mark.parametrize(
+    ('headers', 'messages', 'status'),
+    [
+        ([(b'x-long', b'x' * 600)], (), 431),
+        ([(b'content-length', b'11')], (), 413),
+        (
+            [],
+            [
+                {'type': 'http.request', 'body': b'x' * 6, 'more_body': True},
+                {'type': 'http.request', 'body': b'x' * 6},
+            ],
+            413,
+        ),
+        ([(b'rattanspoke-time-budget', b'soon')], (), 400),
+    ],
+)
+def test_request_over_the_limits_is_rejected(kernel, entry, headers, messages, status):
+    """It gets its own status and reaches nothing."""
+    got, _, _ = call(make_caller_app(kernel), headers=headers, messages=messages)
+    assert got == status
+    assert not entry.requests
+
+
+def test_caller_that_leaves_cancels_its_request(kernel, entry):
+    """Nothing is written, and the work is given up."""
+    messages = [{'type': 'http.request', 'body': b''}, {'type': 'http.disconnect'}]
+    assert call(make_caller_app(kernel), messages=messages) is None
+    assert entry.was_cancelled
+
+
+def test_leaving_host_tells_callers_to_close(kernel, entry):
+    """Requests are still answered, on connections that end after the answer."""
+    entry.answer = Merged(seals=('s',), missing=0, body=b'')
+    kernel.find(LIFECYCLE).leave()
+    status, headers, _ = call(make_caller_app(kernel))
+    assert status == 200
+    assert headers[b'connection'] == b'close'
+
+
+def test_readiness_is_true(kernel):
+    """Ready with the whole state known, not before, and not once told to stop."""
+    app = make_probe_app(kernel, lambda _: 'metrics')
+    assert call(app, path=b'/-/readiness')[0] == 200
+    kernel.find(SHARED_STATE).desired = None
+    assert call(app, path=b'/-/readiness')[0] == 503
+    kernel.find(SHARED_STATE).desired = FakeState().desired
+    kernel.find(LIFECYCLE).leave()
+    assert call(app, path=b'/-/readiness')[0] == 503
+    assert call(app, path=b'/metrics')[2] == b'metrics'
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -125,7 +125,7 @@
 
 
 def test_request_is_forwarded_unchanged():
-    """Method, path, query, body and end-to-end headers arrive as the caller sent them."""
+    """Method, path, query, body and end-to-end headers arrive as they were sent."""
 
     async def scene():
         async with Script(answer(b'done', Rattanspoke_Server_Seal='s.1')) as script:
