Explain requests that ended late, short or refused; spread refused callers

Cause: a refusal told every caller to return after 50 ms, as one; logs did not say why a request was late or what a second send was for. Change: callers return when room is expected, spread over a third of the time they have left; one line for each request that is not served whole and in time, each extra send and each pause of an upstream.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -100,7 +100,7 @@
     kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
     kernel.provide(NEWS, HostNews(kernel))
     kernel.provide(LINES, UpstreamChannels(kernel))
-    kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra))
+    kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra, seed))
     kernel.provide(ENTRY, RequestEntry(kernel))
     kernel.provide(FOLLOWER, StoreFollower(kernel, seed))
     return kernel
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -231,8 +231,8 @@
     ) -> Registration | None:
         """Return the upstream to send to once one has room, None when none will."""
 
-    def opens_in(self, service: ServiceId) -> Seconds | None:
-        """Return the seconds until a service takes work again, None if it has none."""
+    def return_in(self, service: ServiceId, waiter: Waiter) -> Seconds:
+        """Return the seconds after which a refused caller may be served."""
 
     def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
         """Return the seconds without a reply after which to ask a second upstream."""
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -116,6 +116,9 @@
     Replica,
     choose_replica,
 )
+from ._returning import (
+    choose_return,
+)
 from ._routes import (
     RouteTable,
     WeightSpread,
@@ -237,6 +240,7 @@
     'choose_patience',
     'choose_quantile',
     'choose_replica',
+    'choose_return',
     'choose_version',
     'count_needed',
     'find_surplus',
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -44,11 +44,10 @@
     WeightedServices,
 )
 from ._part import Part, PartResult
+from ._reports import describe_ending, describe_missing
 from ._tasks import TaskOwner, read_clock
 
-MILLISECONDS = 1000  # in a second
 GIVE_UP_RESERVE = Seconds(0.02)  # before the deadline, to say that nothing has run
-LEAST_RETURN = Seconds(0.05)  # before a refused caller comes back
 STARTUP_RETURN = Seconds(0.5)  # while no desired state is known
 
 
@@ -79,9 +78,14 @@
         self._counters.add(Metric.REQUESTS, route.route)
         self._lifecycle.begin()
         try:
-            return await self._serve_route(request, route)
+            answer = await self._serve_route(request, route)
         finally:
             self._lifecycle.end()
+        self._counters.observe(Metric.LATENCY, read_clock() - request.arrived)
+        ending = describe_ending(request, route, answer, desired.version)
+        if ending is not None:
+            self._log.info('request ended', **ending)
+        return answer
 
     def _find_route(
         self, desired: DesiredState, request: CallerRequest
@@ -116,31 +120,21 @@
             if not part.done():
                 part.cancel()
         if part.cancelled() or not part.done():
-            answer: CallerAnswer = Failed(Reason.DEADLINE)
-        else:
-            answer = self._answer_part(part.result())
-        if not isinstance(answer, Relayed):
-            self._log.info(
-                'request not served',
-                request=request.attempt,
-                route=route.route,
-                waited_ms=round((read_clock() - request.arrived) * MILLISECONDS),
-                answer=type(answer).__name__,
-                reason=answer.reason.value if hasattr(answer, 'reason') else '',
-            )
-        return answer
+            return Failed(Reason.DEADLINE)
+        return self._answer_part(part.result(), waiter)
 
-    def _answer_part(self, outcome: PartResult) -> CallerAnswer:
+    def _answer_part(self, outcome: PartResult, waiter: Waiter) -> CallerAnswer:
         if outcome.reply is not None:
             return Relayed(outcome.reply)
         if outcome.outcome is Outcome.NOT_RUN:
-            return self._refuse(outcome.reason, [outcome.service])
+            return self._refuse(outcome.reason, [outcome.service], waiter)
         return Failed(outcome.reason)
 
-    def _refuse(self, reason: Reason, services: list[ServiceId]) -> Refused:
-        returns = [self._placements.opens_in(service) for service in services]
-        latest = max(each or LEAST_RETURN for each in returns)
-        return Refused(reason, Seconds(max(LEAST_RETURN, latest)))
+    def _refuse(
+        self, reason: Reason, services: list[ServiceId], waiter: Waiter
+    ) -> Refused:
+        returns = [self._placements.return_in(each, waiter) for each in services]
+        return Refused(reason, max(returns))
 
     async def _gather(
         self, request: CallerRequest, route: Route, shards: ShardSet
@@ -157,7 +151,9 @@
                 part.cancel()
             raise
         if len(gathering.covered) < len(shards.shards):
-            self._note_short(request, route, gathering, list(running.values()))
+            covered = {each.service for each in gathering.covered}
+            missing = describe_missing(running.values(), covered)
+            self._log.info('shards missing', request=request.attempt, missing=missing)
         self._counters.observe(
             Metric.COVERAGE, len(gathering.covered) / len(shards.shards)
         )
@@ -166,36 +162,14 @@
             return gathering.merge()
         for part in running:
             part.cancel()
-        return self._answer_shortfall(gathering)
+        return self._answer_shortfall(gathering, waiter)
 
-    def _note_short(
-        self,
-        request: CallerRequest,
-        route: Route,
-        gathering: '_Gathering',
-        parts: list[Part],
-    ) -> None:
-        """Log which shards an answer lacks, what was tried and why they are missing."""
-        covered = {each.service for each in gathering.covered}
-        missing = {
-            part.service: f'{known.reason.value}: {" ".join(known.tried) or "unsent"}'
-            for part in parts
-            if part.service not in covered and (known := part.describe())
-        }
-        self._log.info(
-            'shards missing',
-            request=request.attempt,
-            route=route.route,
-            waited_ms=round((read_clock() - request.arrived) * MILLISECONDS),
-            is_enough=gathering.is_enough,
-            version=self._table.version if self._table else None,
-            missing=missing,
-        )
-
-    def _answer_shortfall(self, gathering: '_Gathering') -> CallerAnswer:
+    def _answer_shortfall(
+        self, gathering: '_Gathering', waiter: Waiter
+    ) -> CallerAnswer:
         if gathering.is_unrun:
             services = [each.service for each in gathering.missed]
-            return self._refuse(Reason.LOW_COVERAGE, services)
+            return self._refuse(Reason.LOW_COVERAGE, services, waiter)
         return Failed(Reason.LOW_COVERAGE)
 
     def _make_part(
@@ -209,6 +183,7 @@
             placements=self._placements,
             counters=self._counters,
             tasks=self._tasks,
+            log=self._log,
         )
 
 
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
+import structlog
+
 from ..contracts import Counters, Lines, Metric, Placements
 from ..model import (
     CallerRequest,
@@ -64,6 +66,7 @@
     placements: Placements
     counters: Counters
     tasks: Tasks
+    log: structlog.stdlib.BoundLogger
     _tried: set[UpstreamId] = field(default_factory=set)
     _attempts: int = 0
     _running: dict[Attempt, UpstreamId] = field(default_factory=dict)
@@ -159,6 +162,14 @@
         if not self.placements.spend_extra(self.service, kind):
             self.counters.add(Metric.EXTRA_DENIED, kind.value)
             return False
+        self.log.info(
+            'extra send',
+            request=self.request.attempt,
+            service=self.service,
+            kind=kind.value,
+            after=' '.join(self._tried),
+            reason=self._reason.value,
+        )
         is_hedge = kind is ExtraSend.HEDGE
         self.counters.add(Metric.HEDGES if is_hedge else Metric.RETRIES)
         return True
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -1,10 +1,13 @@
 """What this host learned of upstreams, and the extra sends that it may still use."""
 
 import asyncio
+import random
 from collections import defaultdict
 from collections.abc import Collection
 from itertools import count
 
+import structlog
+
 from ..contracts import (
     DIRECTORY,
     FLEET,
@@ -19,6 +22,7 @@
     Replica,
     choose_hedge_delay,
     choose_replica,
+    choose_return,
     first_hedge,
     is_waiting_useful,
     make_extra_budget,
@@ -48,6 +52,7 @@
 # Every reply makes room and wakes whoever is first; this bounds the wait when the
 # upstreams that are busy fall silent and another one opens.
 LOOK_AGAIN = Seconds(0.2)
+MILLISECONDS = 1000  # in a second
 LEAST_WAIT = Seconds(0.005)  # so that a pause's end, rounded, cannot spin
 LEAST_USUAL = Seconds(0.002)
 USUAL_PART = 0.15  # of the objective that a call usually takes, while none was seen
@@ -56,7 +61,9 @@
 class HostPlacements:
     """Choose replicas by what became of the requests that this host sent them."""
 
-    def __init__(self, kernel: Kernel, rule: BudgetRule) -> None:
+    def __init__(self, kernel: Kernel, rule: BudgetRule, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._log = structlog.get_logger()
         self._zone = kernel.find(IDENTITY).zone
         self._directory = kernel.find(DIRECTORY)
         self._fleet = kernel.find(FLEET)
@@ -87,7 +94,7 @@
         if not queue_time:
             target = self._choose(service, waiter.route, tried)
         while target is None:
-            opens_in = self.opens_in(service)
+            opens_in = self._opens_in(service)
             queue_time = Seconds(queue_time + self._usual(waiter.route))
             if not is_waiting_useful(opens_in, queue_time, waiter, _now()):
                 return None
@@ -96,17 +103,14 @@
             target = self._choose(service, waiter.route, tried)
         return target
 
-    def opens_in(self, service: ServiceId) -> Seconds | None:
-        """Return the seconds until a service takes work again, None if it has none.
-
-        Zero for upstreams that are busy: every reply makes room.
-        """
-        now = read_clock()
-        replicas = [self._find(each) for each in self._directory.replicas(service)]
-        if not replicas:
-            return None
-        opening = min(each.paused_until for each in replicas)
-        return Seconds(max(0, opening - now))
+    def return_in(self, service: ServiceId, waiter: Waiter) -> Seconds:
+        """Return the seconds after which a refused caller may be served."""
+        return choose_return(
+            self._opens_in(service),
+            self._queue_time(service, waiter),
+            Seconds(waiter.give_up_at - read_clock()),
+            self._random.random(),
+        )
 
     def hedge_after(self, service: ServiceId, route: Route) -> Seconds:
         """Return the seconds without a reply after which to ask a second upstream."""
@@ -149,6 +153,7 @@
             replica.note_failure(Failure.SHED, sent, now)
         else:
             replica.note_failure(Failure.FAILED, sent, now)
+        self._log_pause(target, replica, now)
 
     def note_failure(
         self, target: Registration, call: CallId, route: Route, error: UpstreamError
@@ -164,6 +169,7 @@
                 replica.note_slow(ratio, now)  # it was given too little time
             case _:
                 replica.note_failure(Failure.LOST, sent, now)
+        self._log_pause(target, replica, now)
 
     def note_dropped(self, target: Registration, call: CallId, route: Route) -> None:
         """Learn from a request whose reply nobody waits for any more."""
@@ -188,6 +194,18 @@
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
 
+    def _opens_in(self, service: ServiceId) -> Seconds | None:
+        """Return the seconds until a service takes work again, None if it has none.
+
+        Zero for upstreams that are busy: every reply makes room.
+        """
+        now = read_clock()
+        replicas = [self._find(each) for each in self._directory.replicas(service)]
+        if not replicas:
+            return None
+        opening = min(each.paused_until for each in replicas)
+        return Seconds(max(0, opening - now))
+
     async def _wait(
         self, service: ServiceId, waiter: Waiter, opens_in: Seconds
     ) -> None:
@@ -231,6 +249,21 @@
         if waiting:
             min(waiting)[-1].set_result(None)
 
+    def _log_pause(self, target: Registration, replica: Replica, now: Seconds) -> None:
+        """Tell that an upstream is given a pause, and what led to it."""
+        pause = replica.paused_until - now
+        if pause <= 0:
+            return
+        self._log.info(
+            'upstream paused',
+            upstream=target.upstream,
+            service=target.service,
+            pause_ms=round(pause * MILLISECONDS),
+            failures=replica.failures,
+            slowness=round(replica.slowness, 1),
+            limit=round(replica.window.limit, 1),
+        )
+
     def _end(
         self, target: Registration, call: CallId, now: Seconds
     ) -> tuple[Replica, Seconds]:
--- /dev/null
+++ b/src/rattanspoke/services/_reports.py
@@ -0,0 +1,63 @@
+"""Log lines that explain what became of a request."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from ..model import (
+    CallerAnswer,
+    CallerRequest,
+    Failed,
+    Merged,
+    Refused,
+    Rejected,
+    Relayed,
+    Route,
+    ServiceId,
+)
+from ._part import Part
+from ._tasks import read_clock
+
+MILLISECONDS = 1000  # in a second
+
+
+def describe_ending(
+    request: CallerRequest, route: Route, answer: CallerAnswer, version: int
+) -> dict[str, Any] | None:
+    """Return the fields of a request's line; None for a whole answer in time."""
+    waited = read_clock() - request.arrived
+    match answer:
+        case Relayed(reply) if not reply.is_success:
+            outcome = {'answer': 'relayed', 'status': reply.status}
+        case Merged(missing=missing) if missing:
+            outcome = {'answer': 'merged', 'missing': missing}
+        case Refused(reason, retry_after):
+            retry_ms = round(retry_after * MILLISECONDS)
+            outcome = {
+                'answer': 'refused',
+                'reason': reason.value,
+                'retry_after_ms': retry_ms,
+            }
+        case Failed(reason) | Rejected(reason):
+            outcome = {'answer': 'failed', 'reason': reason.value}
+        case _ if waited > route.objective:
+            outcome = {'answer': 'late'}
+        case _:
+            return None
+    return outcome | {
+        'request': request.attempt,
+        'route': route.route,
+        'version': version,
+        'waited_ms': round(waited * MILLISECONDS),
+        'objective_ms': round(route.objective * MILLISECONDS),
+    }
+
+
+def describe_missing(
+    parts: Iterable[Part], covered: set[ServiceId]
+) -> dict[ServiceId, str]:
+    """Return why each shard is missing, and the upstreams that were asked for it."""
+    return {
+        part.service: f'{known.reason.value}: {" ".join(known.tried) or "unsent"}'
+        for part in parts
+        if part.service not in covered and (known := part.describe())
+    }
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -17,6 +17,7 @@
     choose_hold,
     choose_links,
     choose_patience,
+    choose_return,
     count_needed,
     is_waiting_useful,
     make_extra_budget,
@@ -260,3 +261,15 @@
     followers = choose_followers(zones)
     assert len(followers) == 2
     assert zones[followers[0]] != zones[followers[1]]
+
+
+def test_refused_callers_return_spread_out():
+    """Not before room is expected, and over a third of the time that they have left."""
+    returns = [
+        choose_return(Seconds(0.2), Seconds(0.1), Seconds(3), draw / 10)
+        for draw in range(11)
+    ]
+    assert returns[0] == pytest.approx(0.2)
+    assert returns[-1] == pytest.approx(1)
+    assert returns == sorted(returns)
+    assert choose_return(None, Seconds(0), Seconds(0), 0.5) > 0
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -77,7 +77,16 @@
 
 def test_no_service_imports_another():
     """Services reach each other through the kernel; only their helpers are shared."""
-    helpers = {'_tasks', '_link', '_work', '_gate', '_condition', '_fanout', '_part'}
+    helpers = {
+        '_tasks',
+        '_link',
+        '_work',
+        '_gate',
+        '_condition',
+        '_fanout',
+        '_part',
+        '_reports',
+    }
     for path in modules_of('services'):
         if path.name == '__init__.py':
             continue
