Tell callers of a failure before their deadline; wait for the state at a start

In the hour of a cut, searches waited for shards out of reach until the caller had gone, since connections hang for a second; a host that had just started turned callers away for the 20 ms until it knew the state. Change: a connection is given 0.3 s, a search answers 20 ms before the deadline, and a host that starts lets requests wait up to 0.4 s for the state. Tests fail without each.

--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -133,6 +133,9 @@
     def is_complete(self) -> bool:
         """Whether every kind of state was read at least once."""
 
+    async def await_complete(self, limit: Seconds) -> None:
+        """Wait until everything was read once, but no longer than a limit."""
+
     def revision(self, kind: StateKind) -> Revision:
         """Return the revision up to which a kind is known."""
 
--- a/src/rattanspoke/platform/_http.py
+++ b/src/rattanspoke/platform/_http.py
@@ -14,7 +14,7 @@
 
 from ..model import Headers, Seconds
 
-UNANSWERED_LIMIT_MS = 3000  # for sent bytes that the peer's machine does not confirm
+UNANSWERED_LIMIT_MS = 1500  # for sent bytes that the peer's machine does not confirm
 PROBE_IDLE_S = 5  # of silence until keep-alive probes begin
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 3
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -47,7 +47,9 @@
 from ._reports import describe_ending, describe_missing
 from ._tasks import TaskOwner, read_clock
 
-GIVE_UP_RESERVE = Seconds(0.02)  # before the deadline, to say that nothing has run
+GIVE_UP_RESERVE = Seconds(0.02)  # before the deadline, so that the caller hears of it
+# A host that has just started knows the state within a call of the store or a peer.
+STARTUP_WAIT = Seconds(0.4)
 STARTUP_RETURN = Seconds(0.5)  # while no desired state is known
 
 
@@ -67,6 +69,9 @@
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Return what the caller is told."""
+        if not self._state.is_complete:
+            left = (request.deadline - read_clock()) / 2
+            await self._state.await_complete(min(STARTUP_WAIT, Seconds(left)))
         desired = self._state.desired
         if desired is None:
             return Refused(Reason.NO_DESIRED_STATE, STARTUP_RETURN)
@@ -141,11 +146,12 @@
     ) -> CallerAnswer:
         answer_at = plan_answer(route, request.arrived, request.deadline)
         gathering = _Gathering(shards, answer_at)
-        waiter = Waiter(route, answer_at, request.deadline)
+        give_up_at = Seconds(request.deadline - GIVE_UP_RESERVE)
+        waiter = Waiter(route, answer_at, give_up_at)
         parts = [self._make_part(request, each, waiter) for each in shards.shards]
         running = {self._tasks.spawn(part.run()): part for part in parts}
         try:
-            await gathering.wait(set(running), request.deadline)
+            await gathering.wait(set(running), give_up_at)
         except asyncio.CancelledError:
             for part in running:
                 part.cancel()
--- a/src/rattanspoke/services/_lines.py
+++ b/src/rattanspoke/services/_lines.py
@@ -33,7 +33,7 @@
 )
 from ._tasks import TaskOwner, Tasks, read_clock
 
-CONNECT_LIMIT = Seconds(1)  # to open a connection; healthy ones take some milliseconds
+CONNECT_LIMIT = Seconds(0.3)  # to open a connection; healthy ones take up to 10 ms
 IDLE_LIMIT = Seconds(10)  # that an idle connection is kept when no timeout is told
 IDLE_MARGIN = Seconds(0.5)  # by which this side closes before the upstream does
 FRESH_IDLE = Seconds(0.25)  # idle longer, a connection may be closing unseen
--- a/src/rattanspoke/services/_state.py
+++ b/src/rattanspoke/services/_state.py
@@ -1,5 +1,6 @@
 """The shared state that a host knows: desired state, registrations, evacuations."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 import structlog
@@ -11,6 +12,7 @@
     DesiredState,
     RecordError,
     Revision,
+    Seconds,
     StateChange,
     StateContent,
     StateKind,
@@ -40,6 +42,7 @@
         self._log = structlog.get_logger()
         self._known = {kind: _Known() for kind in StateKind}
         self._desired: DesiredState | None = None
+        self._completed = asyncio.Event()
 
     @property
     def desired(self) -> DesiredState | None:
@@ -52,6 +55,14 @@
         known = all(each.revision > NO_REVISION for each in self._known.values())
         return known and self._desired is not None
 
+    async def await_complete(self, limit: Seconds) -> None:
+        """Wait until everything was read once, but no longer than a limit."""
+        try:
+            async with asyncio.timeout(max(0, limit)):
+                await self._completed.wait()
+        except TimeoutError:
+            return
+
     def revision(self, kind: StateKind) -> Revision:
         """Return the revision up to which a kind is known."""
         return self._known[kind].revision
@@ -81,6 +92,7 @@
         for stored in listing.objects:
             self._adopt(kind, stored)
         known.revision = listing.revision
+        self._note_complete()
 
     def adopt_changes(
         self, kind: StateKind, after: Revision, changes: ObjectList
@@ -92,8 +104,13 @@
         if after > known.revision:
             return False
         known.revision = max(known.revision, changes.revision)
+        self._note_complete()
         return True
 
+    def _note_complete(self) -> None:
+        if self.is_complete:
+            self._completed.set()
+
     def _adopt(self, kind: StateKind, stored: StoredObject) -> None:
         objects = self._known[kind].objects
         former = objects.get(stored.name)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -434,3 +434,56 @@
             assert sum(edge.store.calls.values()) <= watches
 
     run(scene())
+
+
+def test_request_to_a_host_that_just_started_waits_for_the_state(run):
+    """It is not turned away while the host reads the store for the first time."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            edge.store.faults.delay = 0.1
+            await edge.start('new', 'west')
+            assert isinstance(await edge.ask('new'), Relayed)
+
+    run(scene())
+
+
+def test_search_that_cannot_succeed_is_refused_at_once(run):
+    """With two shards out of reach callers are told, and not held to their deadline."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge)
+            edge.configure(shard_route(SHARDS, minimum=0.89))
+            await asyncio.sleep(SETTLE)
+            for shard in SHARDS[:2]:
+                for upstream in edge.by_service[shard]:
+                    upstream.is_dark = True
+            for _ in range(5):
+                await edge.ask('host-0', '/all/x')
+            for _ in range(5):
+                began = asyncio.get_running_loop().time()
+                answer = await edge.ask('host-0', '/all/x')
+                assert isinstance(answer, Failed | Refused)
+                assert asyncio.get_running_loop().time() - began < 0.45
+
+    run(scene())
+
+
+def test_caller_hears_of_a_failure_before_its_deadline(run):
+    """An answer that comes as the deadline passes reaches nobody."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            add_shards(edge, work=5)
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            began = asyncio.get_running_loop().time()
+            answer = await edge.ask('host-0', '/all/x', limit=1)
+            assert isinstance(answer, Failed)
+            assert asyncio.get_running_loop().time() - began < 0.99
+
+    run(scene())
