Bound what cold upstreams are sent by all hosts together

Cause: deployments that state a cold rate would have had every host find a cold upstream idle at once. Change: the first few hosts, in an order that all agree on, share what it bears; the others wait until it is warm.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from .contracts import (
+    COLD,
     COUNTERS,
     DIRECTORY,
     ENTRY,
@@ -20,6 +21,7 @@
     TIMELINE,
     UPSTREAM_LINES,
     BudgetRule,
+    ColdRule,
     Counters,
     Identity,
     ObjectStore,
@@ -31,6 +33,7 @@
 from .kernel import Kernel, ServiceKey
 from .model import HostEntry, HostId, Seconds
 from .services import (
+    ColdUpstreams,
     HostFleet,
     HostLifecycle,
     HostNews,
@@ -64,11 +67,13 @@
 
     Attributes:
         extra: bounds on extra sends to a service.
+        cold: bounds on what cold upstreams are sent.
         drain_time: seconds for which upstreams that leave may be sent work.
         seeds: hosts that may know the others while the store does not answer.
     """
 
     extra: BudgetRule
+    cold: ColdRule
     drain_time: Seconds
     seeds: tuple[HostId, ...] = ()
 
@@ -86,21 +91,26 @@
         seed: of the random choices that spread load.
     """
     kernel = Kernel()
-    kernel.provide(IDENTITY, identity)
-    kernel.provide(COUNTERS, ports.counters)
-    kernel.provide(OBJECT_STORE, ports.store)
-    kernel.provide(STATE_CODEC, ports.codec)
-    kernel.provide(UPSTREAM_LINES, ports.upstream_lines)
-    kernel.provide(TIMELINE, ports.timeline)
-    kernel.provide(PEER_TRANSPORT, ports.peer_transport)
+    _provide_ports(kernel, identity, ports)
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
     kernel.provide(DIRECTORY, UpstreamDirectory(kernel, rules.drain_time))
     kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
     kernel.provide(NEWS, HostNews(kernel))
+    kernel.provide(COLD, ColdUpstreams(kernel, rules.cold))
     kernel.provide(LINES, UpstreamChannels(kernel))
     kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra, seed))
     kernel.provide(ENTRY, RequestEntry(kernel))
     kernel.provide(FOLLOWER, StoreFollower(kernel, seed))
     return kernel
+
+
+def _provide_ports(kernel: Kernel, identity: Identity, ports: EdgePorts) -> None:
+    kernel.provide(IDENTITY, identity)
+    kernel.provide(COUNTERS, ports.counters)
+    kernel.provide(OBJECT_STORE, ports.store)
+    kernel.provide(STATE_CODEC, ports.codec)
+    kernel.provide(UPSTREAM_LINES, ports.upstream_lines)
+    kernel.provide(TIMELINE, ports.timeline)
+    kernel.provide(PEER_TRANSPORT, ports.peer_transport)
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -14,7 +14,7 @@
 
 from ._edge import EdgePorts, EdgeRules, assemble_edge
 from ._listening import QuietServer
-from .contracts import FLEET, LIFECYCLE, BudgetRule, Identity
+from .contracts import FLEET, LIFECYCLE, BudgetRule, ColdRule, Identity
 from .kernel import Kernel
 from .model import HostEntry, Incarnation, Seconds
 from .observability import render_metrics
@@ -116,6 +116,7 @@
     )
     rules = EdgeRules(
         extra=BudgetRule(settings.retry_ratio, settings.retry_slack),
+        cold=ColdRule(settings.cold_factor, settings.cold_slack),
         drain_time=settings.drain_time,
         seeds=settings.seeds,
     )
--- a/src/rattanspoke/contracts/__init__.py
+++ b/src/rattanspoke/contracts/__init__.py
@@ -5,6 +5,8 @@
 )
 from ._edges import (
     BudgetRule,
+    Cold,
+    ColdRule,
     Directory,
     Entry,
     Fleet,
@@ -22,6 +24,7 @@
     CATALOG,
     CLAIMS,
     CODEC,
+    COLD,
     COUNTERS,
     DIRECTORY,
     ENTRY,
@@ -100,6 +103,7 @@
     'CATALOG',
     'CLAIMS',
     'CODEC',
+    'COLD',
     'COUNTERS',
     'DIRECTORY',
     'ENTRY',
@@ -141,6 +145,8 @@
     'Catalog',
     'Claims',
     'Codec',
+    'Cold',
+    'ColdRule',
     'Counters',
     'Directory',
     'Entry',
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -170,6 +170,9 @@
     def live_hosts(self) -> dict[HostId, ZoneId]:
         """Return the hosts that were heard lately, this one included."""
 
+    def known_hosts(self) -> tuple[HostId, ...]:
+        """Return the hosts that may be sending work, this one included."""
+
     def links(self) -> tuple[HostId, ...]:
         """Return the hosts that this one exchanges pulses with."""
 
@@ -221,6 +224,29 @@
     slack: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdRule:
+    """What all hosts together may send to a cold upstream in any second.
+
+    Attributes:
+        factor: multiple of the rate that its service states.
+        slack: requests beside that.
+    """
+
+    factor: float
+    slack: float
+
+
+class Cold(Protocol):
+    """Which upstreams are cold, and what this host may send them."""
+
+    def admits(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream may be sent one more request now."""
+
+    def note_sent(self, upstream: UpstreamId) -> None:
+        """Count a request that is about to be sent."""
+
+
 class Placements(Protocol):
     """Which upstream to send to, and what extra sends may cost."""
 
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -3,6 +3,7 @@
 from ..kernel import ServiceKey, Topic
 from ..model import Change, HostId, Pulse, StateChange, UpstreamId
 from ._edges import (
+    Cold,
     Directory,
     Entry,
     Fleet,
@@ -63,6 +64,7 @@
 SHARED_STATE: ServiceKey[SharedState] = ServiceKey('shared state')
 DIRECTORY: ServiceKey[Directory] = ServiceKey('directory')
 FLEET: ServiceKey[Fleet] = ServiceKey('fleet')
+COLD: ServiceKey[Cold] = ServiceKey('cold upstreams')
 LINES: ServiceKey[Lines] = ServiceKey('lines')
 NEWS: ServiceKey[News] = ServiceKey('news')
 PLACEMENTS: ServiceKey[Placements] = ServiceKey('placements')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -23,6 +23,10 @@
     settle_claim,
     take_claim,
 )
+from ._cold import (
+    ColdBound,
+    make_cold_bucket,
+)
 from ._concurrency import (
     ConcurrencyLimit,
 )
@@ -205,6 +209,7 @@
     'AnswerWhenEnough',
     'Assignment',
     'Claims',
+    'ColdBound',
     'ConcurrencyLimit',
     'Failure',
     'FairQueue',
@@ -247,6 +252,7 @@
     'first_hedge',
     'is_waiting_useful',
     'list_holders',
+    'make_cold_bucket',
     'make_extra_budget',
     'may_hedge',
     'merge_records',
--- a/src/rattanspoke/decisions/_budget.py
+++ b/src/rattanspoke/decisions/_budget.py
@@ -21,6 +21,11 @@
     tokens: float
     updated: Seconds
 
+    def holds(self, now: Seconds, amount: float = 1) -> bool:
+        """Tell whether there are enough tokens, without taking them."""
+        gained = max(0, now - self.updated) * self.rate
+        return min(self.capacity, self.tokens + gained) >= amount
+
     def take(self, now: Seconds, amount: float = 1) -> bool:
         """Take tokens if there are enough; a clock that steps back gains nothing."""
         gained = max(0, now - self.updated) * self.rate
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -3,6 +3,7 @@
 from ._bookings import HostBookings, fingerprint_booking
 from ._catalog import HostCatalog
 from ._claims import ClaimKeeper
+from ._cold import ColdUpstreams
 from ._directory import UpstreamDirectory
 from ._entry import RequestEntry
 from ._fleet import HostFleet
@@ -27,6 +28,7 @@
 
 __all__ = (
     'ClaimKeeper',
+    'ColdUpstreams',
     'HostBookings',
     'HostCatalog',
     'HostCounters',
--- /dev/null
+++ b/src/rattanspoke/services/_cold.py
@@ -0,0 +1,83 @@
+"""Cold upstreams: who may be sent how much, from what upstreams say of themselves."""
+
+from dataclasses import dataclass
+
+from ..contracts import FLEET, IDENTITY, SHARED_STATE, STATE_CHANGED, ColdRule
+from ..decisions import ColdBound, TokenBucket, make_cold_bucket
+from ..kernel import Kernel
+from ..model import (
+    Registration,
+    Seconds,
+    StateChange,
+    UpstreamId,
+)
+from ._tasks import read_clock
+
+
+@dataclass(slots=True)
+class _Cold:
+    """An upstream that is cold until some time; no bucket means nothing is sent."""
+
+    until: Seconds
+    bucket: TokenBucket | None
+
+
+class ColdUpstreams:
+    """Keep a bucket for each upstream that is cold and whose service gives a rate."""
+
+    def __init__(self, kernel: Kernel, rule: ColdRule) -> None:
+        self._state = kernel.find(SHARED_STATE)
+        self._fleet = kernel.find(FLEET)
+        self._host = kernel.find(IDENTITY).host
+        self._bound = ColdBound(rule.factor, rule.slack)
+        self._cold: dict[UpstreamId, _Cold] = {}
+        kernel.bus.subscribe(STATE_CHANGED, self._note_change)
+
+    def admits(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream may be sent one more request now."""
+        cold = self._find(upstream)
+        if cold is None:
+            return True
+        bucket = cold.bucket
+        return bucket is not None and bucket.holds(Seconds(read_clock()))
+
+    def note_sent(self, upstream: UpstreamId) -> None:
+        """Count a request that is about to be sent."""
+        cold = self._find(upstream)
+        if cold is not None and cold.bucket is not None:
+            cold.bucket.take(Seconds(read_clock()))
+
+    def _find(self, upstream: UpstreamId) -> _Cold | None:
+        cold = self._cold.get(upstream)
+        if cold is not None and read_clock() >= cold.until:
+            del self._cold[upstream]
+            return None
+        return cold
+
+    def _note_change(self, change: StateChange) -> None:
+        match change.content:
+            case Registration(cold_left=cold_left) as registration if cold_left > 0:
+                self._add(registration)
+            case Registration(upstream=upstream):
+                self._cold.pop(upstream, None)
+
+    def _add(self, registration: Registration) -> None:
+        desired = self._state.desired
+        traits = desired.services.get(registration.service) if desired else None
+        if traits is None or traits.cold_rate <= 0:
+            return
+        now = Seconds(read_clock())
+        until = Seconds(now + registration.cold_left)
+        known = self._find(registration.upstream)
+        if known is not None:
+            known.until = until
+            return
+        bucket = make_cold_bucket(
+            self._bound,
+            traits.cold_rate,
+            self._host,
+            self._fleet.known_hosts(),
+            registration.upstream,
+            now,
+        )
+        self._cold[registration.upstream] = _Cold(until, bucket)
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -81,6 +81,10 @@
         """Hosts that may be sending work to upstreams, this one included."""
         return 1 + len(self._others)
 
+    def known_hosts(self) -> tuple[HostId, ...]:
+        """Return the hosts that may be sending work, this one included."""
+        return self._identity.host, *self._others
+
     def live_hosts(self) -> dict[HostId, ZoneId]:
         """Return the hosts that were heard lately, this one included."""
         now = read_clock()
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -9,6 +9,7 @@
 import structlog
 
 from ..contracts import (
+    COLD,
     DIRECTORY,
     FLEET,
     IDENTITY,
@@ -67,6 +68,7 @@
         self._zone = kernel.find(IDENTITY).zone
         self._directory = kernel.find(DIRECTORY)
         self._fleet = kernel.find(FLEET)
+        self._cold = kernel.find(COLD)
         self._rule = rule
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
         self._latencies: dict[RouteId, RecentLatency] = {}
@@ -134,6 +136,7 @@
     def note_sent(self, target: Registration) -> CallId:
         """Count a request that is about to be sent, and return its number."""
         call = CallId(next(self._numbers))
+        self._cold.note_sent(target.upstream)
         self._find(target).calls[call] = _now()
         return call
 
@@ -189,7 +192,11 @@
             for target in self._directory.replicas(service)
             if target.upstream not in tried
         }
-        replicas = [self._find(target) for target in targets.values()]
+        replicas = [
+            self._find(target)
+            for target in targets.values()
+            if self._cold.admits(target.upstream)
+        ]
         usual = self._usual(route)
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rattanspoke._edge import EdgePorts, EdgeRules, assemble_edge
-from rattanspoke.contracts import ENTRY, BudgetRule, Identity
+from rattanspoke.contracts import ENTRY, BudgetRule, ColdRule, Identity
 from rattanspoke.kernel import Kernel
 from rattanspoke.model import (
     CallerRequest,
@@ -246,6 +246,7 @@
         entry = HostEntry(name=host, host=host, zone=zone)
         rules = EdgeRules(
             extra=self.extra,
+            cold=ColdRule(1.5, 5),
             drain_time=DRAIN_TIME,
             seeds=tuple(map(HostId, seeds)),
         )
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -197,3 +197,30 @@
             assert share_in_time(other, Relayed, 0.3) < 0.9
 
     run(scene())
+
+
+def test_cold_upstreams_get_no_more_than_they_bear(run):
+    """A zone comes back cold: in any second all hosts together stay below the bound."""
+
+    async def scene():
+        async with Edge(hosts=6) as edge:
+            edge.add_service('one', work=0.01)
+            edge.configure(one_route('one'), warmupS=3, warmupPerS=10)
+            await asyncio.sleep(SETTLE)
+            cold = edge.by_service['one'][0]
+            entry = cold.register(warmupLeftMs=3000, born=77)
+            edge.store.put('registrations', cold.name, entry)
+            await asyncio.sleep(0.1)
+            forget_arrivals(edge)
+            await replay(edge, 150, 2.5)
+            times = sorted(time for time, _ in cold.arrivals)
+            for first in times:
+                within = sum(first <= time < first + 1 for time in times)
+                assert within <= 10 * 1.5 + 5
+            edge.store.put('registrations', cold.name, cold.register(born=77))
+            await asyncio.sleep(0.1)
+            forget_arrivals(edge)
+            await replay(edge, 150, 2)
+            assert len(cold.arrivals) > 0.2 * 300
+
+    run(scene())
