--- a/src/rattanspoke/model/_states.py
+++ b/src/rattanspoke/model/_states.py
@@ -51,6 +51,7 @@
     NO_DESIRED_STATE = 'no desired state is known'
     REPLY_BROKEN = 'reply broken off or unreadable'
     RETRY_BUDGET = 'retry budget spent'
+    NO_REPLY = 'no reply yet'
     LOW_COVERAGE = 'too few shards answered'
 
 
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -1,7 +1,7 @@
 """Requests of callers: find the route, send the parts, answer."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import structlog
 
@@ -14,13 +14,8 @@
     Metric,
 )
 from ..decisions import (
-    AnswerWhenEnough,
     RouteTable,
-    WaitForAll,
     WeightSpread,
-    choose_patience,
-    count_needed,
-    merge_records,
     plan_answer,
 )
 from ..kernel import Kernel
@@ -29,7 +24,6 @@
     CallerRequest,
     DesiredState,
     Failed,
-    Merged,
     OneService,
     Outcome,
     Reason,
@@ -43,6 +37,7 @@
     Waiter,
     WeightedServices,
 )
+from ._gathering import Gathering, release_parts
 from ._part import Part, PartResult
 from ._reports import describe_ending, describe_missing
 from ._tasks import TaskOwner, read_clock
@@ -145,7 +140,7 @@
         self, request: CallerRequest, route: Route, shards: ShardSet
     ) -> CallerAnswer:
         answer_at = plan_answer(route, request.arrived, request.deadline)
-        gathering = _Gathering(shards, answer_at)
+        gathering = Gathering(shards, answer_at)
         give_up_at = Seconds(request.deadline - GIVE_UP_RESERVE)
         waiter = Waiter(route, answer_at, give_up_at)
         parts = [self._make_part(request, each, waiter) for each in shards.shards]
@@ -164,15 +159,13 @@
             Metric.COVERAGE, len(gathering.covered) / len(shards.shards)
         )
         if gathering.is_enough:
-            _release(running)
+            release_parts(running)
             return gathering.merge()
         for part in running:
             part.cancel()
         return self._answer_shortfall(gathering, waiter)
 
-    def _answer_shortfall(
-        self, gathering: '_Gathering', waiter: Waiter
-    ) -> CallerAnswer:
+    def _answer_shortfall(self, gathering: Gathering, waiter: Waiter) -> CallerAnswer:
         if gathering.is_unrun:
             services = [each.service for each in gathering.missed]
             return self._refuse(Reason.LOW_COVERAGE, services, waiter)
@@ -191,76 +184,3 @@
             tasks=self._tasks,
             log=self._log,
         )
-
-
-def _release(running: dict['asyncio.Task[PartResult]', Part]) -> None:
-    """Let parts that are in flight end, and those that were not sent be dropped."""
-    for task, part in running.items():
-        part.release()
-        if part.is_waiting:
-            task.cancel()
-
-
-@dataclass(slots=True)
-class _Gathering:
-    """The parts of one search as they come in."""
-
-    shards: ShardSet
-    answer_at: Seconds
-    covered: list[PartResult]
-    missed: list[PartResult]
-
-    def __init__(self, shards: ShardSet, answer_at: Seconds) -> None:
-        self.shards = shards
-        self.answer_at = answer_at
-        self.covered = []
-        self.missed = []
-
-    @property
-    def is_enough(self) -> bool:
-        """Whether an answer would be a success."""
-        return len(self.covered) >= count_needed(self.shards)
-
-    @property
-    def is_unrun(self) -> bool:
-        """Whether no upstream of any shard has run the search, or still may."""
-        if self.covered or len(self.missed) < len(self.shards.shards):
-            return False
-        return all(each.outcome is Outcome.NOT_RUN for each in self.missed)
-
-    async def wait(
-        self, running: set['asyncio.Task[PartResult]'], deadline: Seconds
-    ) -> None:
-        """Wait for parts as long as it helps the caller."""
-        outstanding = set(running)
-        while outstanding and self._can_succeed(len(outstanding)):
-            now = Seconds(read_clock())
-            match choose_patience(self.answer_at, deadline, now):
-                case WaitForAll(until):
-                    left = until - now
-                case AnswerWhenEnough(until):
-                    left = until - now
-                    if self.is_enough or left <= 0:
-                        return
-            ended, outstanding = await asyncio.wait(
-                outstanding, timeout=left, return_when=asyncio.FIRST_COMPLETED
-            )
-            for part in ended:
-                self._take(part.result())
-
-    def merge(self) -> Merged:
-        """Return the answer over the parts that are in."""
-        replies = [each.reply for each in self.covered if each.reply is not None]
-        return Merged(
-            seals=tuple(reply.seal for reply in replies if reply.seal is not None),
-            missing=len(self.shards.shards) - len(replies),
-            body=merge_records(
-                (reply.body for reply in replies), self.shards.record_limit
-            ),
-        )
-
-    def _can_succeed(self, outstanding: int) -> bool:
-        return len(self.covered) + outstanding >= count_needed(self.shards)
-
-    def _take(self, outcome: PartResult) -> None:
-        (self.covered if outcome.is_success else self.missed).append(outcome)
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -104,7 +104,11 @@
 
     def describe(self) -> PartResult:
         """Return what is known of a part that has no success."""
-        reason = Reason.OVERLOADED if self.is_waiting else self._reason
+        reason = self._reason
+        if self.is_waiting:
+            reason = Reason.OVERLOADED
+        elif self._running:
+            reason = Reason.NO_REPLY
         return PartResult(
             self.service, self._failed, self._outcome, reason, tuple(self._tried)
         )
@@ -168,7 +172,7 @@
             service=self.service,
             kind=kind.value,
             after=' '.join(self._tried),
-            reason=self._reason.value,
+            reason=self.describe().reason.value,
         )
         is_hedge = kind is ExtraSend.HEDGE
         self.counters.add(Metric.HEDGES if is_hedge else Metric.RETRIES)
@@ -202,20 +206,32 @@
 
     def _take(self, attempt: Attempt) -> UpstreamReply | None:
         """Note how an attempt ended; return its reply when that is a success."""
-        del self._running[attempt]
+        upstream = self._running.pop(attempt)
         match attempt.result():
             case UpstreamError(outcome=outcome, reason=reason):
-                self._note_failed(outcome, reason)
+                self._note_failed(upstream, outcome, reason)
                 return None
             case UpstreamReply(is_success=True) as reply:
                 return reply
             case reply:
+                reason = Reason.UPSTREAM_SHED
                 if reply.outcome is Outcome.RAN:
                     self._failed = reply
-                self._note_failed(reply.outcome, Reason.UPSTREAM_FAILED)
+                    reason = Reason.UPSTREAM_FAILED
+                self._note_failed(upstream, reply.outcome, reason)
                 return None
 
-    def _note_failed(self, outcome: Outcome, reason: Reason) -> None:
+    def _note_failed(
+        self, upstream: UpstreamId, outcome: Outcome, reason: Reason
+    ) -> None:
+        self.log.info(
+            'attempt failed',
+            request=self.request.attempt,
+            service=self.service,
+            upstream=upstream,
+            reason=reason.value,
+            outcome=outcome.value,
+        )
         if reason is Reason.UPSTREAM_UNREACHABLE:
             self._attempts -= 1  # nothing of it arrived
         if outcome is not Outcome.NOT_RUN:
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -86,6 +86,7 @@
         '_fanout',
         '_part',
         '_reports',
+        '_gathering',
     }
     for path in modules_of('services'):
         if path.name == '__init__.py':
