Refuse at once what every upstream has failed

Cause: read while looking over the change: a request whose every upstream was tried went on waiting for the first of them to open, which it would not be sent to, up to its objective. Change: only upstreams that were not tried count as worth waiting for. The test fails before.

--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -96,7 +96,7 @@
         if not queue_time:
             target = self._choose(service, waiter.route, tried)
         while target is None:
-            opens_in = self._opens_in(service)
+            opens_in = self._opens_in(service, tried)
             queue_time = Seconds(queue_time + self._usual(waiter.route))
             if not is_waiting_useful(opens_in, queue_time, waiter, _now()):
                 return None
@@ -108,7 +108,7 @@
     def return_in(self, service: ServiceId, waiter: Waiter) -> Seconds:
         """Return the seconds after which a refused caller may be served."""
         return choose_return(
-            self._opens_in(service),
+            self._opens_in(service, ()),
             self._queue_time(service, waiter),
             Seconds(waiter.give_up_at - read_clock()),
             self._random.random(),
@@ -201,13 +201,19 @@
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
 
-    def _opens_in(self, service: ServiceId) -> Seconds | None:
-        """Return the seconds until a service takes work again, None if it has none.
+    def _opens_in(
+        self, service: ServiceId, tried: Collection[UpstreamId]
+    ) -> Seconds | None:
+        """Return the seconds until an untried upstream takes work, None without one.
 
         Zero for upstreams that are busy: every reply makes room.
         """
         now = read_clock()
-        replicas = [self._find(each) for each in self._directory.replicas(service)]
+        replicas = [
+            self._find(target)
+            for target in self._directory.replicas(service)
+            if target.upstream not in tried
+        ]
         if not replicas:
             return None
         opening = min(each.paused_until for each in replicas)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -513,3 +513,19 @@
             assert len(entries.objects) == 11
 
     run(scene())
+
+
+def test_request_whose_every_upstream_failed_is_refused_at_once(run):
+    """Once all were tried nothing is left to wait for, although they may return."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', is_down=True)
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            began = asyncio.get_running_loop().time()
+            answer = await edge.ask('host-0')
+            assert isinstance(answer, Refused)
+            assert asyncio.get_running_loop().time() - began < 0.1
+
+    run(scene())
