Keep one milliseconds constant; trace native faults of a host

Cause: the last read found a constant written in six modules, a field, a setting and an alias that nothing used, and a method that only logged under another name. Change: MILLISECONDS lives in model; UpstreamReply.is_last, the heartbeat setting, LONG_HEADERS and HostNews._push_whole are gone. rattanspoke host enables faulthandler, so a fault in native code leaves a trace on stderr.

--- a/src/rattanspoke/commands/_host.py
+++ b/src/rattanspoke/commands/_host.py
@@ -1,5 +1,6 @@
 """Run one host on the users' platform."""
 
+import faulthandler
 import os
 import sys
 from pathlib import Path
@@ -36,4 +37,5 @@
             self.line_error(str(error), style='error')
             return ExitCode.INVALID
         configure_logs('info', sys.stdout)
+        faulthandler.enable()  # a fault in native code leaves a trace on stderr
         return ExitCode.OK if run_edge(settings) else ExitCode.FAILED
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -39,6 +39,7 @@
     UpstreamReply,
 )
 from ._ids import (
+    MILLISECONDS,
     NO_REVISION,
     CallId,
     DocumentId,
@@ -142,6 +143,7 @@
 )
 
 __all__ = (
+    'MILLISECONDS',
     'NO_REVISION',
     'Acknowledgement',
     'Answer',
--- a/src/rattanspoke/model/_exchanges.py
+++ b/src/rattanspoke/model/_exchanges.py
@@ -44,7 +44,6 @@
         outcome: whether the upstream ran the request.
         seal: the upstream's proof that the answer is its own, if it gave one.
         is_foreign: whether another upstream has the address now.
-        is_last: whether the upstream closes the connection after this answer.
     """
 
     upstream: UpstreamId
@@ -54,7 +53,6 @@
     outcome: Outcome
     seal: Seal | None = None
     is_foreign: bool = False
-    is_last: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/rattanspoke/model/_ids.py
+++ b/src/rattanspoke/model/_ids.py
@@ -22,6 +22,7 @@
 Seal = NewType('Seal', str)  # an upstream's proof of one answer
 
 NO_REVISION = Revision(0)
+MILLISECONDS = 1000  # in a second
 
 
 def name_holder(host: HostId, incarnation: Incarnation) -> HolderId:
--- a/src/rattanspoke/platform/_codec.py
+++ b/src/rattanspoke/platform/_codec.py
@@ -6,6 +6,7 @@
 
 from ..contracts import ObjectList
 from ..model import (
+    MILLISECONDS,
     CallerLimits,
     DesiredState,
     Destination,
@@ -31,7 +32,6 @@
     WeightedServices,
     ZoneId,
 )
-from ._words import MILLISECONDS
 
 DESIRED_STATE_NAME = 'main'
 REPEATABILITIES = {
--- a/src/rattanspoke/platform/_front.py
+++ b/src/rattanspoke/platform/_front.py
@@ -8,6 +8,7 @@
 from ..contracts import COUNTERS, ENTRY, LIFECYCLE, SHARED_STATE, Metric
 from ..kernel import Kernel
 from ..model import (
+    MILLISECONDS,
     CallerAnswer,
     CallerLimits,
     CallerRequest,
@@ -25,7 +26,6 @@
     ATTEMPT_HEADER,
     BUDGET_HEADER,
     HOP_HEADERS,
-    MILLISECONDS,
     MISSING_PARTS_HEADER,
     PART_SEALS_HEADER,
     READINESS_PATH,
@@ -46,7 +46,6 @@
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
-LONG_HEADERS = Reason.HEADERS_TOO_LARGE
 
 
 class _CallerLeft(Exception):
@@ -110,7 +109,7 @@
     headers: Headers = tuple(scope['headers'])
     values = dict(headers)
     if limits is not None and _measure(headers) > limits.header_bytes:
-        return Rejected(LONG_HEADERS)
+        return Rejected(Reason.HEADERS_TOO_LARGE)
     budget = _read_budget(values.get(BUDGET_HEADER))
     authority = values.get(b'host', b'').decode('latin-1').lower()
     if budget is None or not authority:
--- a/src/rattanspoke/platform/_settings.py
+++ b/src/rattanspoke/platform/_settings.py
@@ -3,10 +3,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..model import HostId, Seconds, SettingsError, ZoneId
+from ..model import MILLISECONDS, HostId, Seconds, SettingsError, ZoneId
 
 SETTINGS_VARIABLE = 'RATTANSPOKE_CONFIG'
-MILLISECONDS = 1000  # in a second
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,7 +26,6 @@
         retry_slack: extra sends to a service in each window beside the ratio.
         cold_factor: what a cold upstream bears, as a multiple of its rate.
         cold_slack: requests in a second beside that.
-        heartbeat: seconds between an upstream's reports to the store.
     """
 
     name: str
@@ -44,7 +42,6 @@
     retry_slack: float
     cold_factor: float
     cold_slack: float
-    heartbeat: Seconds
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -126,5 +123,4 @@
         retry_slack=lines.number('bounds.budgetExtraRetries', 0),
         cold_factor=lines.number('bounds.warmupFactor', 1),
         cold_slack=lines.number('bounds.warmupSlack', 0),
-        heartbeat=lines.milliseconds('heartbeatMs', 1200),
     )
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -8,6 +8,7 @@
 
 from ..contracts import Counters, Metric, ObjectList
 from ..model import (
+    MILLISECONDS,
     NO_REVISION,
     PlatformConflict,
     PlatformHistoryGone,
@@ -20,7 +21,7 @@
 )
 from ._codec import keep_desired_state
 from ._http import HttpAnswer, HttpLine, LineBroken, open_line
-from ._words import MILLISECONDS, OBJECTS_PATH
+from ._words import OBJECTS_PATH
 
 CALL_LIMIT = Seconds(1)  # for a call beyond the wait that it asks for
 NO_WAIT = Seconds(0)
--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -4,6 +4,7 @@
 from typing import Self
 
 from ..model import (
+    MILLISECONDS,
     CallerRequest,
     Outcome,
     Reason,
@@ -17,7 +18,6 @@
 from ._words import (
     ATTEMPT_HEADER,
     HOP_HEADERS,
-    MILLISECONDS,
     MISDIRECTED,
     NOT_EXECUTED_HEADER,
     OWN_HEADERS,
--- a/src/rattanspoke/platform/_words.py
+++ b/src/rattanspoke/platform/_words.py
@@ -12,7 +12,6 @@
 OBJECTS_PATH = '/-/objects/'
 
 MISDIRECTED = 421  # the address belongs to another upstream now
-MILLISECONDS = 1000  # in a second
 
 # Headers that concern one connection only, and those that this system sets itself.
 HOP_HEADERS = frozenset(
--- a/src/rattanspoke/services/_news.py
+++ b/src/rattanspoke/services/_news.py
@@ -58,7 +58,7 @@
         return self._identity.host not in choose_followers(self._fleet.live_hosts())
 
     def take_list(self, kind: StateKind, listing: ObjectList) -> None:
-        """Take a complete listing from the store."""
+        """Take a complete listing from the store; peers that lack it pull it."""
         self._heard[kind] = read_clock()
         before = self._state.revision(kind)
         self._floors[kind] = max(
@@ -66,7 +66,8 @@
             listing.revision if before == NO_REVISION else NO_REVISION,
         )
         self._state.adopt_list(kind, listing)
-        self._push_whole(kind)
+        revision = self._state.revision(kind)
+        self._log.info('listed', kind=kind.value, revision=revision)
 
     def take_changes(
         self, kind: StateKind, after: Revision, changes: ObjectList
@@ -89,10 +90,6 @@
         self._peers.serve(StateNews, self._take_news)
         return self
 
-    def _push_whole(self, kind: StateKind) -> None:
-        """Offer a listing only by its revision; peers pull what they lack."""
-        self._log.info('listed', kind=kind.value, revision=self._state.revision(kind))
-
     def _push(self, news: StateNews, source: HostId | None = None) -> None:
         for host in self._fleet.links():
             if host != source:
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -32,6 +32,7 @@
 )
 from ..kernel import Kernel
 from ..model import (
+    MILLISECONDS,
     CallId,
     ExtraSend,
     Incarnation,
@@ -53,7 +54,6 @@
 # Every reply makes room and wakes whoever is first; this bounds the wait when the
 # upstreams that are busy fall silent and another one opens.
 LOOK_AGAIN = Seconds(0.2)
-MILLISECONDS = 1000  # in a second
 LEAST_WAIT = Seconds(0.005)  # so that a pause's end, rounded, cannot spin
 LEAST_USUAL = Seconds(0.002)
 USUAL_PART = 0.15  # of the objective that a call usually takes, while none was seen
--- a/src/rattanspoke/services/_reports.py
+++ b/src/rattanspoke/services/_reports.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from ..model import (
+    MILLISECONDS,
     CallerAnswer,
     CallerRequest,
     Failed,
@@ -17,8 +18,6 @@
 from ._part import Part
 from ._tasks import read_clock
 
-MILLISECONDS = 1000  # in a second
-
 
 def describe_ending(
     request: CallerRequest, route: Route, answer: CallerAnswer, version: int
--- a/src/rattanspoke/transports/_front.py
+++ b/src/rattanspoke/transports/_front.py
@@ -21,6 +21,7 @@
 )
 from ..kernel import Kernel
 from ..model import (
+    MILLISECONDS,
     Answer,
     Booking,
     EventKind,
@@ -38,7 +39,6 @@
 from ..observability import render_metrics
 from ._status import describe_status, describe_timeline
 
-MILLISECONDS = 1000  # in a second
 MAX_DEADLINE = Seconds(30)
 MAX_LIMIT = 1000  # hits of one answer
 MAX_QUERY = 1000  # characters
--- a/src/rattanspoke/transports/_upstreams.py
+++ b/src/rattanspoke/transports/_upstreams.py
@@ -10,6 +10,7 @@
 
 from ..contracts import BookingResult, SearchResult, SubResult
 from ..model import (
+    MILLISECONDS,
     BookingCommand,
     DocumentId,
     Hit,
@@ -24,7 +25,6 @@
     UpstreamRecord,
 )
 
-MILLISECONDS = 1000  # in a second
 IDENTIFY_LIMIT = Seconds(1)
 CANCEL_LIMIT = Seconds(1)  # for a cancelled call's reply, while its slot is taken
 CONNECT_LIMIT = Seconds(1)
