Begin a restarted host with few extra sends; follow the fleet's size

Cause: a host's budget of extra sends was full at each start and sized by the hosts known when a service was first asked for. Killed twice within a window, three hosts sent 118 extras for 120 requests where 76 are allowed; a host that knew nobody yet kept the whole slack for itself. Change: budgets follow the count of live hosts (RatioBudget.resize). A host that starts while the system has run before begins with 0.08 of its part, so that two restarts of all hosts in a window stay within the slack. Tests: test_restarted_hosts_do_not_spend_extra_sends_twice failed before (118 > 76); test_host_that_learns_of_others_keeps_its_part_only.

--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -115,7 +115,11 @@
         timeline=HostTimeline(identity),
     )
     rules = EdgeRules(
-        extra=BudgetRule(settings.retry_ratio, settings.retry_slack),
+        extra=BudgetRule(
+            settings.retry_ratio,
+            settings.retry_slack,
+            is_unspent=settings.is_first_start,
+        ),
         cold=ColdRule(settings.cold_factor, settings.cold_slack),
         drain_time=settings.drain_time,
         seeds=settings.seeds,
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -221,10 +221,12 @@
     Attributes:
         ratio: extra sends for each request of the service.
         slack: extra sends in a window beside that.
+        is_unspent: whether no earlier life of any host can have spent of it lately.
     """
 
     ratio: float
     slack: float
+    is_unspent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -34,6 +34,7 @@
     first_hedge,
     make_extra_budget,
     may_hedge,
+    share_slack,
 )
 from ._gathering import (
     NOW,
@@ -266,6 +267,7 @@
     'rank_hosts',
     'rank_waiter',
     'settle_claim',
+    'share_slack',
     'split_records',
     'take_claim',
 )
--- a/src/rattanspoke/decisions/_budget.py
+++ b/src/rattanspoke/decisions/_budget.py
@@ -58,6 +58,12 @@
         """What may still be spent, as a fraction of the most that can be."""
         return (self.saved + self.overdraft) / (self.capacity + self.overdraft)
 
+    def resize(self, capacity: float) -> None:
+        """Keep another amount at most; less of it scales down what is saved."""
+        if capacity < self.capacity:
+            self.saved *= capacity / self.capacity
+        self.capacity = capacity
+
     def earn(self, amount: float = 1) -> None:
         """Count ordinary work."""
         self.saved = min(self.capacity, self.saved + amount * self.ratio)
--- a/src/rattanspoke/decisions/_extra.py
+++ b/src/rattanspoke/decisions/_extra.py
@@ -3,7 +3,8 @@
 Load pattern: a tenth of the upstreams turns slow at once, so that most searches would
 like to hedge, while every hedge and retry adds to the load of the others. The platform
 bounds the extra arrivals of all hosts together in each window; every host keeps to its
-part without asking the others.
+part without asking the others. Hosts that are killed and come back within a window know
+nothing of what they spent, and begin with little.
 """
 
 from ..model import Seconds
@@ -11,18 +12,34 @@
 
 RETRY_RESERVE = 0.25  # of the budget, which hedges leave to retries
 SAFE_PART = 0.85  # of the allowed ratio and slack; views of the fleet's size may differ
+# Two restarts of every host in one window stay within the slack beside SAFE_PART.
+START_PART = 0.08  # of its capacity that a restarted host has saved
 
 
-def make_extra_budget(ratio: float, slack: float, live_hosts: int) -> RatioBudget:
+def make_extra_budget(
+    ratio: float, slack: float, live_hosts: int, *, is_unspent: bool = True
+) -> RatioBudget:
     """Return one host's part of what a service may get beside first sends.
 
     Args:
         ratio: extra sends for each request, over all hosts.
         slack: extra sends in a window beside that, over all hosts.
         live_hosts: hosts that share the slack.
+        is_unspent: whether no earlier life of any host can have spent of it lately.
     """
-    capacity = max(1, slack * SAFE_PART / max(1, live_hosts))
-    return RatioBudget(ratio=ratio * SAFE_PART, capacity=capacity, saved=capacity)
+    capacity = share_slack(slack, live_hosts)
+    saved = capacity if is_unspent else capacity * START_PART
+    return RatioBudget(ratio=ratio * SAFE_PART, capacity=capacity, saved=saved)
+
+
+def share_slack(slack: float, live_hosts: int) -> float:
+    """Return one host's part of the extra sends that a window allows beside the ratio.
+
+    Args:
+        slack: extra sends in a window, over all hosts.
+        live_hosts: hosts that share them.
+    """
+    return max(1, slack * SAFE_PART / max(1, live_hosts))
 
 
 def may_hedge(budget: RatioBudget) -> bool:
--- a/src/rattanspoke/platform/_settings.py
+++ b/src/rattanspoke/platform/_settings.py
@@ -6,6 +6,7 @@
 from ..model import MILLISECONDS, HostId, Seconds, SettingsError, ZoneId
 
 SETTINGS_VARIABLE = 'RATTANSPOKE_CONFIG'
+FLAG_ON, FLAG_OFF = 'true', 'false'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,6 +22,7 @@
         seeds: hosts that may be up, by the same kind of address.
         store: the address of the platform's store, as host:port.
         drain_time: seconds within which an upstream that leaves gets nothing more.
+        is_first_start: whether the whole system starts for the first time.
         grace: seconds between SIGTERM and SIGKILL.
         retry_ratio: extra sends to a service for each of its requests, over all hosts.
         retry_slack: extra sends to a service in each window beside the ratio.
@@ -37,6 +39,7 @@
     probes: str
     store: str
     drain_time: Seconds
+    is_first_start: bool
     grace: Seconds
     retry_ratio: float
     retry_slack: float
@@ -92,6 +95,13 @@
         """Return a time that the file gives in milliseconds."""
         return Seconds(self.number(name, default) / MILLISECONDS)
 
+    def flag(self, name: str) -> bool:
+        """Return a switch, off where it is missing."""
+        value = self._values.get(name, FLAG_OFF)
+        if value not in {FLAG_OFF, FLAG_ON}:
+            raise SettingsError(f'{name}: {value!r} is neither true nor false')
+        return value == FLAG_ON
+
     def addresses(self, name: str) -> tuple[str, ...]:
         """Return a list of addresses, which may be empty."""
         return tuple(each for each in self._values.get(name, '').split(',') if each)
@@ -118,6 +128,7 @@
         probes=lines.text('listen.ready'),
         store=lines.text('platform.address'),
         drain_time=lines.milliseconds('bounds.drainMs', 3000),
+        is_first_start=lines.flag('bootstrap'),
         grace=Seconds(lines.number('bounds.graceS', 6)),
         retry_ratio=lines.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=lines.number('bounds.budgetExtraRetries', 0),
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -29,6 +29,7 @@
     make_extra_budget,
     may_hedge,
     rank_waiter,
+    share_slack,
 )
 from ..kernel import Kernel
 from ..model import (
@@ -304,12 +305,15 @@
         return Seconds(max(LEAST_USUAL, learned))
 
     def _budget(self, service: ServiceId) -> RatioBudget:
-        if service not in self._budgets:
-            rule = self._rule
-            self._budgets[service] = make_extra_budget(
-                rule.ratio, rule.slack, self._fleet.live_count
+        rule, live_hosts = self._rule, self._fleet.live_count
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = make_extra_budget(
+                rule.ratio, rule.slack, live_hosts, is_unspent=rule.is_unspent
             )
-        return self._budgets[service]
+            self._budgets[service] = budget
+        budget.resize(share_slack(rule.slack, live_hosts))
+        return budget
 
     def _forget(self, upstream: UpstreamId) -> None:
         self._replicas.pop(upstream, None)
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import defaultdict
 from contextlib import AsyncExitStack, nullcontext
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from types import TracebackType
 from typing import Self
@@ -213,6 +213,7 @@
     def __post_init__(self) -> None:
         self._stacks: dict[HostId, AsyncExitStack] = {}
         self._attempts = count(1)
+        self._started: set[HostId] = set()
         self._version = 0
 
     async def __aenter__(self) -> Self:
@@ -230,7 +231,7 @@
             await self.stop(host)
 
     async def start(self, host, zone, seeds=()) -> Kernel:
-        """Start a host and return its kernel."""
+        """Start a host and return its kernel; a name started before is a restart."""
         host, zone = HostId(host), ZoneId(zone)
         identity = Identity(host, Incarnation(f'{host}/{len(self.kernels)}'), zone)
         self.stores[host] = CutStore(self.store)
@@ -244,8 +245,10 @@
             timeline=HostTimeline(identity),
         )
         entry = HostEntry(name=host, host=host, zone=zone)
+        is_restart = host in self._started
+        self._started.add(host)
         rules = EdgeRules(
-            extra=self.extra,
+            extra=replace(self.extra, is_unspent=not is_restart),
             cold=ColdRule(1.5, 5),
             drain_time=DRAIN_TIME,
             seeds=tuple(map(HostId, seeds)),
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -25,6 +25,7 @@
     merge_records,
     plan_answer,
     rank_waiter,
+    share_slack,
 )
 from rattanspoke.model import (
     CallerLimits,
@@ -222,6 +223,14 @@
     assert spent <= 0.2 * requests + slack
 
 
+def test_host_that_learns_of_others_keeps_its_part_only():
+    """A budget made while no other host was known shrinks to one of four parts."""
+    budget = make_extra_budget(0.2, 52, 1)
+    budget.resize(share_slack(52, 4))
+    spent = sum(budget.spend() for _ in range(100))
+    assert 0 < spent <= 52 / 4
+
+
 def test_hedges_leave_budget_for_retries():
     """The last quarter is not spent on hedges."""
     budget = make_extra_budget(0.2, 52, 4)
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -5,7 +5,7 @@
 
 from rattanspoke.model import Merged, Refused, Relayed
 
-from .edges import SETTLE, Edge, one_route, shard_route
+from .edges import SETTLE, ZONES, Edge, one_route, shard_route
 
 SHARDS = tuple(f'shard-{number}' for number in range(10))
 
@@ -199,6 +199,32 @@
     run(scene())
 
 
+def test_restarted_hosts_do_not_spend_extra_sends_twice(run):
+    """All upstreams slow, all hosts killed twice: the sum stays within the bound."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', replicas=9, slots=50, work=0.02)
+            edge.configure(one_route('one', maxAttempts=3), maxConnections=500)
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 30, 3)
+            for upstream in edge.by_service['one']:
+                upstream.work = 0.4
+            forget_arrivals(edge)
+            asked = len(await replay(edge, 20, 2, limit=5))
+            for _ in range(2):
+                for host in list(edge.kernels):
+                    await edge.stop(host)
+                for number in range(3):
+                    await edge.start(f'host-{number}', ZONES[number])
+                await asyncio.sleep(0.5)
+                asked += len(await replay(edge, 20, 2, limit=5))
+            extra = sum(arrivals(edge, 'one')) - asked
+            assert extra <= 0.2 * asked + 52, extra
+
+    run(scene())
+
+
 def test_cold_upstreams_get_no_more_than_they_bear(run):
     """A zone comes back cold: in any second all hosts together stay below the bound."""
 
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -45,6 +45,9 @@
     assert settings.regions == {'tacoma': 'cascadia', 'everett': 'cascadia'}
     assert settings.drain_time == 3
     assert settings.retry_slack == 52
+    assert not settings.is_first_start
+    first = load_host_settings(write(tmp_path, f'{SETTINGS}bootstrap=true\n'))
+    assert first.is_first_start
 
 
 @pytest.mark.parametrize(
@@ -53,6 +56,10 @@
         (SETTINGS.replace('zone=tacoma\n', ''), 'zone: is missing'),
         (SETTINGS.replace('graceS=6', 'graceS=soon'), "graceS: 'soon' is not a number"),
         (SETTINGS + 'no separator\n', "'no separator' is not name=value"),
+        (
+            SETTINGS + 'bootstrap=maybe\n',
+            "bootstrap: 'maybe' is neither true nor false",
+        ),
     ],
 )
 def test_unreadable_settings_name_file_key_and_reason(tmp_path, text, reason):
