Bound what a request that crashes upstreams may crash, on all hosts

Cause: on the users' platform nothing but a route's attempts bounded how many upstreams a request takes down that its caller sends again and again. Change: a connection that breaks off under a call is replaced at once; a refusal, or a new life in the registrations, proves a crash (decisions/_evidence.py). Crashes that share a caller's attempt count once, so a group of upstreams that goes down convicts no search. Hosts share crashes through the services that the tier's own interface already has (_suspects, _suspicion). A suspect is sent once, a suspect search to one shard first; after its second crash it is refused as not run. Tests: test_edge_crashes.py. Ruled out: counting resets alone, since answers are lost and connections reset while upstreams live on.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -1,10 +1,12 @@
 """Puts together the services of a host that runs on the users' platform."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .contracts import (
     COLD,
     COUNTERS,
+    CRASHES,
     DIRECTORY,
     ENTRY,
     FLEET,
@@ -18,6 +20,7 @@
     PLACEMENTS,
     SHARED_STATE,
     STATE_CODEC,
+    SUSPECTS,
     TIMELINE,
     UPSTREAM_LINES,
     BudgetRule,
@@ -39,10 +42,12 @@
     HostNews,
     HostPlacements,
     HostSharedState,
+    HostSuspects,
     PeerLinks,
     RequestEntry,
     StoreFollower,
     UpstreamChannels,
+    UpstreamCrashes,
     UpstreamDirectory,
 )
 
@@ -91,6 +96,10 @@
         seed: of the random choices that spread load.
     """
     kernel = Kernel()
+
+    def live_hosts() -> Iterable[HostId]:
+        return kernel.find(FLEET).live_hosts()
+
     _provide_ports(kernel, identity, ports)
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(PEERS, PeerLinks(kernel))
@@ -98,6 +107,8 @@
     kernel.provide(DIRECTORY, UpstreamDirectory(kernel, rules.drain_time))
     kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
     kernel.provide(NEWS, HostNews(kernel))
+    kernel.provide(SUSPECTS, HostSuspects(kernel, live_hosts))
+    kernel.provide(CRASHES, UpstreamCrashes(kernel))
     kernel.provide(COLD, ColdUpstreams(kernel, rules.cold))
     kernel.provide(LINES, UpstreamChannels(kernel))
     kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra, seed))
--- a/src/rattanspoke/_host.py
+++ b/src/rattanspoke/_host.py
@@ -1,5 +1,6 @@
 """Puts the services of one host together, in the order in which they start."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .contracts import (
@@ -33,6 +34,7 @@
     UpstreamClient,
 )
 from .kernel import Kernel
+from .model import HostId, HostState
 from .services import (
     ClaimKeeper,
     HostBookings,
@@ -72,6 +74,10 @@
         seed: of the random choices that spread load.
     """
     kernel = Kernel()
+
+    def live_members() -> Iterable[HostId]:
+        return kernel.find(MEMBERS).select(HostState.LIVE)
+
     _provide_ports(kernel, identity, ports)
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(CATALOG, HostCatalog(kernel))
@@ -80,7 +86,7 @@
     kernel.provide(MEMBERS, HostMembers(kernel))
     kernel.provide(VERDICTS, HostVerdicts(kernel))
     kernel.provide(ORGANISATIONS, HostOrganisations(kernel))
-    kernel.provide(SUSPECTS, HostSuspects(kernel))
+    kernel.provide(SUSPECTS, HostSuspects(kernel, live_members))
     kernel.provide(SEATS, HostSeats(kernel, seed))
     kernel.provide(OWNER, UpstreamOwner(kernel))
     kernel.provide(LOADS, HostLoads(kernel, seed))
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -18,6 +18,7 @@
     Route,
     Seconds,
     ServiceId,
+    Standing,
     StateContent,
     StateKind,
     StoredObject,
@@ -294,6 +295,16 @@
         """Learn from a request whose reply nobody waits for any more."""
 
 
+class Crashes(Protocol):
+    """Callers' requests that crash the upstreams which run them."""
+
+    def judge(self, request: CallerRequest) -> Standing:
+        """Return whether a request may be sent, and how carefully."""
+
+    def note_success(self, request: CallerRequest) -> None:
+        """Clear a suspect that every upstream it was sent to has run."""
+
+
 class Entry(Protocol):
     """Serves requests of callers."""
 
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -1,9 +1,18 @@
 """Names of the services and the protocols behind them."""
 
 from ..kernel import ServiceKey, Topic
-from ..model import Change, HostId, Pulse, StateChange, UpstreamId
+from ..model import (
+    BrokenCall,
+    Change,
+    HostId,
+    Incarnation,
+    Pulse,
+    StateChange,
+    UpstreamId,
+)
 from ._edges import (
     Cold,
+    Crashes,
     Directory,
     Entry,
     Fleet,
@@ -51,6 +60,7 @@
 VERDICTS: ServiceKey[Verdicts] = ServiceKey('verdicts')
 SEATS: ServiceKey[Seats] = ServiceKey('seats')
 SUSPECTS: ServiceKey[Suspects] = ServiceKey('suspects')
+CRASHES: ServiceKey[Crashes] = ServiceKey('crashes')
 OWNER: ServiceKey[Owner] = ServiceKey('owner')
 LOADS: ServiceKey[Loads] = ServiceKey('loads')
 ORGANISATIONS: ServiceKey[Organisations] = ServiceKey('organisations')
@@ -72,6 +82,8 @@
 
 PULSE_HEARD: Topic[Pulse] = Topic('pulse heard')
 UPSTREAM_GONE: Topic[UpstreamId] = Topic('upstream gone')
+CALL_BROKEN: Topic[BrokenCall] = Topic('call broken off')
+UPSTREAM_REFUSED: Topic[Incarnation] = Topic('upstream refuses connections')
 STATE_CHANGED: Topic[StateChange] = Topic('state changed')
 RECORD_CHANGED: Topic[Change] = Topic('record changed')
 MEMBER_CHANGED: Topic[HostId] = Topic('member changed')
--- a/src/rattanspoke/contracts/_services.py
+++ b/src/rattanspoke/contracts/_services.py
@@ -307,6 +307,10 @@
 class Suspects(Protocol):
     """Requests suspected of crashing upstreams."""
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is suspected at all."""
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Tell whether the work must run alone and without hedges."""
 
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -30,6 +30,7 @@
 from ._concurrency import (
     ConcurrencyLimit,
 )
+from ._evidence import CONFIRM_TIME, CrashEvidence
 from ._extra import (
     first_hedge,
     make_extra_budget,
@@ -163,6 +164,7 @@
 )
 
 __all__ = (
+    'CONFIRM_TIME',
     'CONVICTING_CRASHES',
     'DIGEST_LENGTH',
     'DIGITS',
@@ -213,6 +215,7 @@
     'Claims',
     'ColdBound',
     'ConcurrencyLimit',
+    'CrashEvidence',
     'Failure',
     'FairQueue',
     'Gathering',
--- a/src/rattanspoke/decisions/_suspicion.py
+++ b/src/rattanspoke/decisions/_suspicion.py
@@ -28,6 +28,11 @@
 
     _suspects: dict[Fingerprint, _Suspect] = field(default_factory=dict)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any work is suspected at all."""
+        return bool(self._suspects)
+
     def note_crash(
         self, crash: str, in_flight: Iterable[Fingerprint], now: Seconds
     ) -> tuple[Fingerprint, ...]:
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -28,6 +28,7 @@
     Event,
 )
 from ._exchanges import (
+    BrokenCall,
     CallerAnswer,
     CallerRequest,
     Failed,
@@ -37,6 +38,7 @@
     Rejected,
     Relayed,
     UpstreamReply,
+    is_complete,
 )
 from ._ids import (
     MILLISECONDS,
@@ -130,6 +132,7 @@
     WeightedServices,
 )
 from ._states import (
+    UNREACHED,
     ClaimState,
     EventKind,
     ExtraSend,
@@ -137,6 +140,7 @@
     Outcome,
     Reason,
     RecordKind,
+    Standing,
     UpstreamState,
     Warmth,
     ZoneState,
@@ -145,12 +149,14 @@
 __all__ = (
     'MILLISECONDS',
     'NO_REVISION',
+    'UNREACHED',
     'Acknowledgement',
     'Answer',
     'Baseline',
     'Booking',
     'BookingCommand',
     'BookingReply',
+    'BrokenCall',
     'CallId',
     'CallerAnswer',
     'CallerLimits',
@@ -235,6 +241,7 @@
     'ShardId',
     'ShardMap',
     'ShardSet',
+    'Standing',
     'StateChange',
     'StateContent',
     'StateKind',
@@ -259,5 +266,6 @@
     'ZoneRecord',
     'ZoneState',
     'holder_host',
+    'is_complete',
     'name_holder',
 )
--- a/src/rattanspoke/model/_exchanges.py
+++ b/src/rattanspoke/model/_exchanges.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from ._ids import RequestId, Seal, Seconds, UpstreamId
+from ._ids import Incarnation, RequestId, Seal, Seconds, UpstreamId
 from ._states import Outcome, Reason
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -36,6 +36,19 @@
         return self.target.partition('?')[0]
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenCall:
+    """A call whose connection ended before its answer was whole.
+
+    Attributes:
+        upstream: the life of the upstream that it was sent to.
+        request: what was sent.
+    """
+
+    upstream: Incarnation
+    request: CallerRequest
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamReply:
     """A whole answer of an upstream.
@@ -104,3 +117,14 @@
 
 
 CallerAnswer: TypeAlias = Relayed | Merged | Refused | Failed | Rejected
+
+
+def is_complete(answer: CallerAnswer) -> bool:
+    """Tell whether an answer is a success and no shard is missing from it."""
+    match answer:
+        case Relayed(reply):
+            return reply.is_success
+        case Merged(missing=missing):
+            return not missing
+        case _:
+            return False
--- a/src/rattanspoke/model/_states.py
+++ b/src/rattanspoke/model/_states.py
@@ -53,6 +53,11 @@
     RETRY_BUDGET = 'retry budget spent'
     NO_REPLY = 'no reply yet'
     LOW_COVERAGE = 'too few shards answered'
+    UPSTREAM_REFUSED = 'upstream refuses connections'
+
+
+# Nothing of a call that ended so has arrived at the upstream.
+UNREACHED = frozenset((Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_REFUSED))
 
 
 @unique
@@ -130,6 +135,15 @@
     SUSPICION = 'suspicion'
 
 
+@unique
+class Standing(Enum):
+    """What is held against a request because of upstreams that crashed."""
+
+    CLEAR = 'clear'
+    SUSPECT = 'suspect'
+    REFUSED = 'refused'
+
+
 @unique
 class ExtraSend(Enum):
     """Why a request is sent to one more upstream of a service."""
--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -34,6 +34,10 @@
         """Open a connection within some seconds; raises UpstreamError, nothing sent."""
         try:
             return HttpConnection(await open_line(address, limit))
+        except ConnectionRefusedError as error:
+            raise UpstreamError(
+                Reason.UPSTREAM_REFUSED, Outcome.NOT_RUN, repr(error)
+            ) from error
         except (OSError, TimeoutError) as error:
             raise UpstreamError(
                 Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN, repr(error)
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -4,6 +4,7 @@
 from ._catalog import HostCatalog
 from ._claims import ClaimKeeper
 from ._cold import ColdUpstreams
+from ._crashes import UpstreamCrashes
 from ._directory import UpstreamDirectory
 from ._entry import RequestEntry
 from ._fleet import HostFleet
@@ -51,6 +52,7 @@
     'StoreFollower',
     'Tasks',
     'UpstreamChannels',
+    'UpstreamCrashes',
     'UpstreamDirectory',
     'UpstreamOwner',
     'fingerprint_booking',
--- a/src/rattanspoke/services/_bookings.py
+++ b/src/rattanspoke/services/_bookings.py
@@ -4,8 +4,6 @@
 import secrets
 from dataclasses import dataclass
 
-import xxhash
-
 from ..contracts import (
     CATALOG,
     CLAIMS,
@@ -39,6 +37,7 @@
     ServiceId,
     UpstreamId,
 )
+from ._fingerprints import digest_work
 from ._tasks import TaskOwner, read_clock
 
 MAX_UPSTREAMS = 4  # asked to run a booking, each after proof that the last did not
@@ -293,8 +292,7 @@
 
 def fingerprint_booking(booking: Booking) -> Fingerprint:
     """Return a digest of what an upstream is asked to do, whoever asks."""
-    text = f'booking|{booking.service}|{booking.content}'
-    return Fingerprint(xxhash.xxh3_128_hexdigest(text.encode()))
+    return digest_work('booking', booking.service, booking.content)
 
 
 def _make_receipt(attempt: _Attempt, reference: str, *, repeated: bool) -> Receipt:
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -7,6 +7,7 @@
 
 from ..contracts import (
     COUNTERS,
+    CRASHES,
     LIFECYCLE,
     LINES,
     PLACEMENTS,
@@ -14,6 +15,7 @@
     Metric,
 )
 from ..decisions import (
+    REFUSAL_TIME,
     RouteTable,
     WeightSpread,
     plan_answer,
@@ -34,10 +36,12 @@
     Seconds,
     ServiceId,
     ShardSet,
+    Standing,
     Waiter,
     WeightedServices,
+    is_complete,
 )
-from ._gathering import Gathering, release_parts
+from ._gathering import Gathering, Running, release_parts
 from ._part import Part, PartResult
 from ._reports import describe_ending, describe_missing
 from ._tasks import TaskOwner, read_clock
@@ -58,6 +62,7 @@
         self._placements = kernel.find(PLACEMENTS)
         self._counters = kernel.find(COUNTERS)
         self._lifecycle = kernel.find(LIFECYCLE)
+        self._crashes = kernel.find(CRASHES)
         self._log = structlog.get_logger()
         self._table: RouteTable | None = None
         self._spread = WeightSpread()
@@ -78,7 +83,7 @@
         self._counters.add(Metric.REQUESTS, route.route)
         self._lifecycle.begin()
         try:
-            answer = await self._serve_route(request, route)
+            answer = await self._serve_by_standing(request, route)
         finally:
             self._lifecycle.end()
         self._counters.observe(Metric.LATENCY, read_clock() - request.arrived)
@@ -94,7 +99,25 @@
             self._table = RouteTable(desired)
         return self._table.find(request.authority, request.path)
 
-    async def _serve_route(self, request: CallerRequest, route: Route) -> CallerAnswer:
+    async def _serve_by_standing(
+        self, request: CallerRequest, route: Route
+    ) -> CallerAnswer:
+        match self._crashes.judge(request):
+            case Standing.REFUSED:
+                return Refused(Reason.SUSPECT, REFUSAL_TIME)
+            case Standing.SUSPECT:
+                # Every further send may cost one more upstream.
+                once = replace(route, attempt_limit=1)
+                answer = await self._serve_route(request, once, is_suspect=True)
+                if is_complete(answer):
+                    self._crashes.note_success(request)
+                return answer
+            case Standing.CLEAR:
+                return await self._serve_route(request, route)
+
+    async def _serve_route(
+        self, request: CallerRequest, route: Route, *, is_suspect: bool = False
+    ) -> CallerAnswer:
         match route.destination:
             case OneService(service):
                 return await self._forward(request, route, service)
@@ -102,7 +125,7 @@
                 service = self._spread.choose(route.route, choices)
                 return await self._forward(request, route, service)
             case ShardSet() as shards:
-                return await self._gather(request, route, shards)
+                return await self._gather(request, route, shards, is_suspect=is_suspect)
 
     async def _forward(
         self, request: CallerRequest, route: Route, service: ServiceId
@@ -137,19 +160,27 @@
         return Refused(reason, max(returns))
 
     async def _gather(
-        self, request: CallerRequest, route: Route, shards: ShardSet
+        self,
+        request: CallerRequest,
+        route: Route,
+        shards: ShardSet,
+        *,
+        is_suspect: bool,
     ) -> CallerAnswer:
         answer_at = plan_answer(route, request.arrived, request.deadline)
         gathering = Gathering(shards, answer_at)
         give_up_at = Seconds(request.deadline - GIVE_UP_RESERVE)
         waiter = Waiter(route, answer_at, give_up_at)
         parts = [self._make_part(request, each, waiter) for each in shards.shards]
-        running = {self._tasks.spawn(part.run()): part for part in parts}
+        running: Running = {}
         try:
+            if is_suspect and not await self._try_first(parts, running, give_up_at):
+                return Failed(Reason.SUSPECT)
+            self._start_parts(parts[len(running) :], running)
             await gathering.wait(set(running), give_up_at)
         except asyncio.CancelledError:
-            for part in running:
-                part.cancel()
+            for task in running:
+                task.cancel()
             raise
         if len(gathering.covered) < len(shards.shards):
             covered = {each.service for each in gathering.covered}
@@ -161,10 +192,25 @@
         if gathering.is_enough:
             release_parts(running)
             return gathering.merge()
-        for part in running:
-            part.cancel()
+        for task in running:
+            task.cancel()
         return self._answer_shortfall(gathering, waiter)
 
+    def _start_parts(self, parts: list[Part], running: Running) -> None:
+        for part in parts:
+            running[self._tasks.spawn(part.run())] = part
+
+    async def _try_first(
+        self, parts: list[Part], running: Running, until: Seconds
+    ) -> bool:
+        """Send one part alone; tell whether its upstream came through it."""
+        self._start_parts(parts[:1], running)
+        ended, _ = await asyncio.wait(running, timeout=until - read_clock())
+        outcomes: list[PartResult] = [part.result() for part in ended]
+        if not ended:
+            next(iter(running)).cancel()
+        return any(outcome.is_success for outcome in outcomes)
+
     def _answer_shortfall(self, gathering: Gathering, waiter: Waiter) -> CallerAnswer:
         if gathering.is_unrun:
             services = [each.service for each in gathering.missed]
--- a/src/rattanspoke/services/_gathering.py
+++ b/src/rattanspoke/services/_gathering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from ..decisions import (
     AnswerWhenEnough,
@@ -14,8 +15,10 @@
 from ._part import Part, PartResult
 from ._tasks import read_clock
 
+Running: TypeAlias = dict['asyncio.Task[PartResult]', Part]
 
-def release_parts(running: dict['asyncio.Task[PartResult]', Part]) -> None:
+
+def release_parts(running: Running) -> None:
     """Let parts that are in flight end, and those that were not sent be dropped."""
     for task, part in running.items():
         part.release()
--- a/src/rattanspoke/services/_lines.py
+++ b/src/rattanspoke/services/_lines.py
@@ -7,18 +7,21 @@
 from itertools import count
 
 from ..contracts import (
+    CALL_BROKEN,
     COUNTERS,
     FLEET,
     SHARED_STATE,
     UPSTREAM_GONE,
     UPSTREAM_LINES,
+    UPSTREAM_REFUSED,
     Counters,
     Metric,
     UpstreamLine,
     UpstreamLines,
 )
-from ..kernel import Kernel
+from ..kernel import Bus, Kernel
 from ..model import (
+    BrokenCall,
     CallerRequest,
     Incarnation,
     Outcome,
@@ -73,14 +76,19 @@
     Load pattern: more requests for one upstream than connections. Those of the higher
     priority go first, then those whose caller stops waiting first; one that has run
     out of time is dropped unsent.
+
+    A connection that broke off under a call is replaced at once, since a refusal proves
+    that the upstream has ended.
     """
 
     target: Registration
     wire: UpstreamLines
     tasks: Tasks
     counters: Counters
+    bus: Bus
     limit: Callable[[], int]
     open_count: int = 0
+    _is_broken: bool = False
     _numbers: 'count[int]' = field(default_factory=count)
     _waiting: list[tuple[int, Seconds, int, _Job]] = field(default_factory=list)
     _idle: list[asyncio.Future[None]] = field(default_factory=list)
@@ -102,30 +110,40 @@
         self.open_count += 1
         try:
             job = self._take()
-            if job is not None:
+            if job is not None or self._is_broken:
+                self._is_broken = False
                 await self._open_and_serve(job)
         finally:
             self.open_count -= 1
-            if self._waiting and self.open_count < self.limit():
-                self.tasks.spawn(self._run_line())
+            self._replace_line()
+
+    def _replace_line(self) -> None:
+        """Open another connection where work waits, or a call broke off."""
+        is_wanted = self._waiting or self._is_broken
+        if is_wanted and self.open_count < self.limit():
+            self.tasks.spawn(self._run_line())
 
-    async def _open_and_serve(self, job: _Job) -> None:
-        left = job.request.deadline - read_clock()
-        limit = Seconds(min(CONNECT_LIMIT, left))
+    async def _open_and_serve(self, job: _Job | None) -> None:
+        limit = CONNECT_LIMIT
+        if job is not None:
+            limit = Seconds(min(limit, job.request.deadline - read_clock()))
         self.counters.add(Metric.LINES_OPENED)
         try:
             line = await self.wire.open(self.target.address, limit)
         except UpstreamError as error:
-            job.fail(error)
+            if error.reason is Reason.UPSTREAM_REFUSED:
+                self.bus.announce(UPSTREAM_REFUSED, self.target.incarnation)
+            if job is not None:
+                job.fail(error)
             return
         async with line:
-            if not line.is_reusable:
+            if job is not None and not line.is_reusable:
                 job.fail(UpstreamError(Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN))
                 return
             await self._serve(line, job)
 
-    async def _serve(self, line: UpstreamLine, first: _Job) -> None:
-        job: _Job | None = first
+    async def _serve(self, line: UpstreamLine, first: _Job | None) -> None:
+        job = first
         idle_since = read_clock()
         while line.is_reusable:
             if job is None:
@@ -152,6 +170,10 @@
         try:
             reply = await line.exchange(job.request, self.target.upstream, budget)
         except UpstreamError as error:
+            if error.reason is Reason.REPLY_BROKEN:
+                broken = BrokenCall(self.target.incarnation, job.request)
+                self.bus.announce(CALL_BROKEN, broken)
+                self._is_broken = True
             job.fail(error)
         else:
             job.finish(reply)
@@ -199,6 +221,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__()
+        self._bus = kernel.bus
         self._wire = kernel.find(UPSTREAM_LINES)
         self._counters = kernel.find(COUNTERS)
         self._state = kernel.find(SHARED_STATE)
@@ -233,6 +256,7 @@
                 wire=self._wire,
                 tasks=self._tasks,
                 counters=self._counters,
+                bus=self._bus,
                 limit=lambda: self._limit(target.service),
             )
             known = target.incarnation, channel
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -8,6 +8,7 @@
 
 from ..contracts import Counters, Lines, Metric, Placements
 from ..model import (
+    UNREACHED,
     CallerRequest,
     CallId,
     ExtraSend,
@@ -232,8 +233,8 @@
             reason=reason.value,
             outcome=outcome.value,
         )
-        if reason is Reason.UPSTREAM_UNREACHABLE:
-            self._attempts -= 1  # nothing of it arrived
+        if reason in UNREACHED:
+            self._attempts -= 1
         if outcome is not Outcome.NOT_RUN:
             self._outcome = outcome
         self._reason = reason
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -167,7 +167,7 @@
         replica, sent = self._end(target, call, now)
         ratio = (now - sent) / self._usual(route)
         match error.reason:
-            case Reason.UPSTREAM_UNREACHABLE:
+            case Reason.UPSTREAM_UNREACHABLE | Reason.UPSTREAM_REFUSED:
                 replica.note_failure(Failure.UNREACHABLE, sent, now)
             case Reason.DEADLINE if ratio < SILENT_RATIO:
                 replica.note_slow(ratio, now)  # it was given too little time
--- a/src/rattanspoke/services/_searches.py
+++ b/src/rattanspoke/services/_searches.py
@@ -2,8 +2,6 @@
 
 import random
 
-import xxhash
-
 from ..contracts import (
     CATALOG,
     COUNTERS,
@@ -44,6 +42,7 @@
     UpstreamId,
 )
 from ._fanout import Fanout
+from ._fingerprints import digest_work
 from ._tasks import read_clock
 
 MERGE_RESERVE = 0.05  # of the budget, kept for merging and the way back
@@ -193,8 +192,7 @@
 
 def fingerprint_search(search: Search) -> Fingerprint:
     """Return a digest of what upstreams are asked to do, whoever asks."""
-    text = f'search|{search.service}|{search.limit}|{search.query}'
-    return Fingerprint(xxhash.xxh3_128_hexdigest(text.encode()))
+    return digest_work('search', search.service, str(search.limit), search.query)
 
 
 def _allow_extra(policy: Policy) -> float:
--- a/src/rattanspoke/services/_suspects.py
+++ b/src/rattanspoke/services/_suspects.py
@@ -1,9 +1,10 @@
 """Requests suspected of crashing upstreams, as all hosts report them."""
 
+from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import Self
 
-from ..contracts import COUNTERS, IDENTITY, MEMBERS, PEERS, TIMELINE, Metric
+from ..contracts import COUNTERS, IDENTITY, PEERS, TIMELINE, Metric
 from ..decisions import Suspicion
 from ..kernel import Kernel
 from ..model import (
@@ -12,7 +13,6 @@
     EventKind,
     Fingerprint,
     HostId,
-    HostState,
     Message,
     Seconds,
 )
@@ -22,14 +22,21 @@
 class HostSuspects:
     """Share crashes with every live host and judge requests by them."""
 
-    def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
+    def __init__(
+        self, kernel: Kernel, list_hosts: Callable[[], Iterable[HostId]]
+    ) -> None:
+        self._list_hosts = list_hosts
         self._identity = kernel.find(IDENTITY)
         self._counters = kernel.find(COUNTERS)
         self._timeline = kernel.find(TIMELINE)
         self._peers = kernel.find(PEERS)
         self._suspicion = Suspicion()
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is suspected at all."""
+        return self._suspicion.has_suspects
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Tell whether the work must run alone and without hedges."""
         return self._suspicion.is_suspect(fingerprint)
@@ -49,7 +56,7 @@
             report.crash, report.suspects, Seconds(read_clock())
         )
         self._timeline.note(EventKind.SUSPICION, f'{len(blamed)} after {report.crash}')
-        for host in self._kernel.find(MEMBERS).select(HostState.LIVE):
+        for host in self._list_hosts():
             if host != self._identity.host:
                 self._peers.post(host, CrashReport(report.crash, blamed), ignore_reply)
 
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -34,6 +34,7 @@
 
 ZONES = ('east', 'west', 'south')
 CONNECT_TIME = 0.006
+CRASH_TIME = 2  # seconds until a crashed upstream is back
 DRAIN_TIME = Seconds(3)
 SETTLE = 2  # seconds until hosts have read the store and heard each other
 
@@ -58,6 +59,8 @@
     sheds: bool = False
     fails: bool = False
     breaks: bool = False
+    crash_on: str | None = None
+    crashes: list[float] = field(default_factory=list)
     body: bytes = b'0123456789abcdef'
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     budgets: list[float] = field(default_factory=list)
@@ -103,6 +106,9 @@
         server.budgets.append(budget)
         if server.sheds:
             return self._reply(503, Outcome.NOT_RUN)
+        if request.target == server.crash_on:
+            self._is_open = False
+            await self._crash(server, loop)
         server.running += 1
         try:
             async with asyncio.timeout(budget):
@@ -126,6 +132,13 @@
         if self._upstream.running:
             self._upstream.broken_off += 1
 
+    async def _crash(self, server, loop) -> None:
+        """End at once and be back some seconds later."""
+        server.is_down = True
+        server.crashes.append(loop.time())
+        loop.call_later(CRASH_TIME, setattr, server, 'is_down', False)
+        raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
+
     async def _work(self, loop) -> None:
         server = self._upstream
         if server.is_dark:
@@ -171,7 +184,9 @@
             await asyncio.sleep(limit)
         else:
             await asyncio.sleep(CONNECT_TIME)
-        if server.is_down or server.is_dark:
+        if server.is_down:
+            raise UpstreamError(Reason.UPSTREAM_REFUSED, Outcome.NOT_RUN)
+        if server.is_dark:
             raise UpstreamError(Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN)
         return FakeLine(server)
 
--- /dev/null
+++ b/tests/test_edge_crashes.py
@@ -0,0 +1,141 @@
+"""Requests that crash upstreams: found by evidence, bounded, and nobody else blamed."""
+
+import asyncio
+
+from rattanspoke.decisions import CONFIRM_TIME, CrashEvidence
+from rattanspoke.model import (
+    Fingerprint,
+    Incarnation,
+    Merged,
+    Reason,
+    Refused,
+    Relayed,
+    RequestId,
+    Seconds,
+)
+
+from .edges import SETTLE, Edge, one_route, shard_route
+
+POISON = '/one/poison'
+CRASH_BOUND = 3  # upstreams that one request may crash, on all hosts together
+SHARDS = tuple(f'shard-{number}' for number in range(10))
+FIRST, SECOND = Incarnation('a@1'), Incarnation('b@1')
+ATTEMPT, OTHER_ATTEMPT = RequestId('1'), RequestId('2')
+PRINT = Fingerprint('p')
+
+
+def test_broken_call_alone_proves_no_crash():
+    """A reset connection at an upstream that lives on blames nobody."""
+    evidence = CrashEvidence()
+    evidence.note_broken(FIRST, ATTEMPT, PRINT, Seconds(0))
+    assert evidence.confirm(SECOND, Seconds(0.1)) is None
+    assert evidence.confirm(FIRST, Seconds(CONFIRM_TIME + 1)) is None
+
+
+def test_refused_connection_after_a_broken_call_proves_a_crash():
+    """The calls that broke off are blamed, once."""
+    evidence = CrashEvidence()
+    evidence.note_broken(FIRST, ATTEMPT, PRINT, Seconds(0))
+    report = evidence.confirm(FIRST, Seconds(1))
+    assert report is not None
+    assert report.suspects == (PRINT,)
+    assert evidence.confirm(FIRST, Seconds(1)) is None
+
+
+def test_upstreams_that_crash_together_count_once():
+    """A search in flight at a whole group that goes down is not convicted by it."""
+    evidence = CrashEvidence()
+    other = Fingerprint('q')
+    evidence.note_broken(FIRST, ATTEMPT, PRINT, Seconds(0))
+    evidence.note_broken(SECOND, ATTEMPT, PRINT, Seconds(0))
+    evidence.note_broken(SECOND, OTHER_ATTEMPT, other, Seconds(0))
+    reports = [evidence.confirm(life, Seconds(1)) for life in (FIRST, SECOND)]
+    assert [report.crash for report in reports] == [FIRST, FIRST]
+    assert reports[1].suspects == (PRINT, other)
+
+
+def test_later_attempt_that_crashes_again_counts_anew():
+    """The caller's next attempt is evidence of its own."""
+    evidence = CrashEvidence()
+    evidence.note_broken(FIRST, ATTEMPT, PRINT, Seconds(0))
+    evidence.note_broken(SECOND, OTHER_ATTEMPT, PRINT, Seconds(0.4))
+    reports = [evidence.confirm(life, Seconds(1)) for life in (FIRST, SECOND)]
+    assert [report.crash for report in reports] == [FIRST, SECOND]
+
+
+def test_request_that_crashes_upstreams_is_refused_on_all_hosts(run):
+    """Sent again and again at any host, it crashes a few upstreams and no more."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', replicas=9, crash_on=POISON)
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            others, answer = [], None
+            for number in range(60):
+                host = f'host-{number % 3}'
+                answer = await edge.ask(host, POISON)
+                others += [await edge.ask(host, f'/one/{number}') for _ in range(6)]
+                await asyncio.sleep(0.3)
+            assert answer == Refused(Reason.SUSPECT, answer.retry_after)
+            crashes = [each for up in edge.by_service['one'] for each in up.crashes]
+            assert len(crashes) <= CRASH_BOUND
+            assert all(isinstance(each, Relayed) for each in others)
+
+    run(scene())
+
+
+def test_search_that_crashes_upstreams_is_tried_on_one_shard(run):
+    """Once suspected, a search reaches a single upstream before it may fan out."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            for shard in SHARDS:
+                edge.add_service(shard, crash_on='/all/poison')
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            await edge.ask('host-0', '/all/poison')
+            for number in range(3):
+                for _ in range(6):
+                    await edge.ask(f'host-{number}', '/all/other')
+                await asyncio.sleep(0.3)
+            first = sum(len(each.crashes) for each in edge.upstreams.values())
+            for number in range(30):
+                await edge.ask(f'host-{number % 3}', '/all/poison')
+                await edge.ask(f'host-{number % 3}', '/all/other')
+                await asyncio.sleep(0.3)
+            crashes = sum(len(each.crashes) for each in edge.upstreams.values())
+            assert crashes - first <= CRASH_BOUND
+
+    run(scene())
+
+
+def test_crash_of_a_group_refuses_nobody(run):
+    """Upstreams that go down together, twice, leave every search allowed."""
+
+    async def scene():
+        async with Edge(hosts=2) as edge:
+            for shard in SHARDS:
+                edge.add_service(shard, work=0.05)
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            loop = asyncio.get_running_loop()
+            for _ in range(2):
+                asking = [
+                    asyncio.ensure_future(edge.ask('host-0', f'/all/{number}'))
+                    for number in range(3)
+                ]
+                await asyncio.sleep(0.02)
+                for shard in SHARDS[:4]:
+                    upstream = edge.by_service[shard][0]
+                    upstream.breaks = upstream.is_down = True
+                    loop.call_later(1, setattr, upstream, 'breaks', False)
+                    loop.call_later(1, setattr, upstream, 'is_down', False)
+                await asyncio.gather(*asking)
+                for _ in range(20):
+                    await edge.ask('host-0', '/all/other')
+                    await asyncio.sleep(0.1)
+            answers = [await edge.ask('host-0', f'/all/{each}') for each in range(3)]
+            assert all(isinstance(each, Merged) for each in answers)
+
+    run(scene())
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -84,6 +84,7 @@
         '_gate',
         '_condition',
         '_fanout',
+        '_fingerprints',
         '_part',
         '_reports',
         '_gathering',
