Remember slowness by a host's traffic; hedge once more after a second silence

Cause: with 25 to 28 hosts each asks a service two to five times a second, and slowness halved in 0.8 s: every other call went back to an upstream just found slow. Change: slowness halves in the time of twelve calls, from 0.8 s to 4 s (decisions/_replicas.py, CallPace). A part is hedged until its attempts or the budget are spent, not once.

--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -111,6 +111,7 @@
     Ramp,
 )
 from ._recent import (
+    CallPace,
     RecentLatency,
     choose_hedge_delay,
 )
@@ -120,6 +121,7 @@
 from ._replicas import (
     Failure,
     Replica,
+    choose_fade,
     choose_replica,
 )
 from ._returning import (
@@ -212,6 +214,7 @@
     'Allowance',
     'AnswerWhenEnough',
     'Assignment',
+    'CallPace',
     'Claims',
     'ColdBound',
     'ConcurrencyLimit',
@@ -242,6 +245,7 @@
     'Work',
     'assign_shards',
     'check_record',
+    'choose_fade',
     'choose_followers',
     'choose_hedge_delay',
     'choose_hold',
--- a/src/rattanspoke/decisions/_recent.py
+++ b/src/rattanspoke/decisions/_recent.py
@@ -21,6 +21,7 @@
 LEAST_DELAY = 1.3  # multiples of the median; sooner, most calls are about to end
 EAGER_CAP = 2  # multiples of the median, while the budget is full
 THRIFTY_CAP = 5  # and while it is nearly spent
+PACE_SMOOTHING = 0.1  # weight of the newest gap in the moving average
 
 
 @dataclass(slots=True)
@@ -61,6 +62,25 @@
         return Seconds(min(median, min(self._medians, default=median)))
 
 
+@dataclass(slots=True)
+class CallPace:
+    """The usual time between calls.
+
+    Attributes:
+        gap: moving average of the seconds between two calls.
+    """
+
+    gap: Seconds = Seconds(0)
+    _latest: Seconds | None = None
+
+    def record(self, now: Seconds) -> None:
+        """Count a call."""
+        if self._latest is not None:
+            passed = now - self._latest
+            self.gap = Seconds(self.gap + PACE_SMOOTHING * (passed - self.gap))
+        self._latest = now
+
+
 def choose_hedge_delay(recent: RecentLatency, fill: float) -> Seconds | None:
     """Return the silence after which to hedge, None while too few calls were seen.
 
--- a/src/rattanspoke/decisions/_replicas.py
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -20,6 +20,8 @@
 FAILURE_SLOWNESS = 8  # a failed call counts like one this many times slower than usual
 LEAST_RATIO = 0.7  # a faster upstream looks no better than this beside an untried one
 FADE_TIME = Seconds(0.8)  # in which an unconfirmed slowness halves towards usual
+FADE_CALLS = 12  # calls of the service, if those take longer
+LONGEST_FADE = Seconds(4)  # so that a host with little traffic finds a healed upstream
 SHED_PAUSE = Seconds(0.1)  # after an upstream said that it is full
 FIRST_PAUSE = Seconds(0.25)  # after a failure to connect; it doubles from then on
 LONGEST_PAUSE = Seconds(2)  # so that a healed upstream is found within seconds
@@ -46,6 +48,7 @@
         calls: when each call in flight was sent.
         window: how many calls may be in flight.
         slowness: moving average of latency over what is usual for the route.
+        fade_time: seconds in which slowness that no call confirms halves.
     """
 
     upstream: UpstreamId
@@ -54,6 +57,7 @@
     calls: dict[CallId, Seconds] = field(default_factory=dict)
     window: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     slowness: float = 1
+    fade_time: Seconds = FADE_TIME
     seen: Seconds = Seconds(0)
     failures: int = 0
     paused_until: Seconds = Seconds(0)
@@ -106,7 +110,7 @@
 
     def _fade(self, now: Seconds) -> float:
         """Return the slowness, nearer to usual the longer no call confirmed it."""
-        fading: float = 0.5 ** ((now - self.seen) / FADE_TIME)
+        fading: float = 0.5 ** ((now - self.seen) / self.fade_time)
         return 1 + (self.slowness - 1) * fading
 
     def _pause(self, pause: Seconds, now: Seconds) -> None:
@@ -116,6 +120,18 @@
         return Seconds(min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(count - 1, 10)))
 
 
+def choose_fade(gap: Seconds) -> Seconds:
+    """Return the seconds in which a slowness halves, at some time between calls.
+
+    A host with little traffic that forgot within a fixed time would send every other
+    call to an upstream that it found slow.
+
+    Args:
+        gap: usual seconds between this host's calls of the service.
+    """
+    return Seconds(min(LONGEST_FADE, max(FADE_TIME, gap * FADE_CALLS)))
+
+
 def choose_replica(
     replicas: Iterable[Replica], zone: ZoneId, usual: Seconds, now: Seconds
 ) -> Replica | None:
--- a/src/rattanspoke/services/_part.py
+++ b/src/rattanspoke/services/_part.py
@@ -130,9 +130,8 @@
         return ended
 
     def _may_hedge(self) -> bool:
-        if not self.route.is_idempotent or len(self._running) > 1:
-            return False
-        return self._may_send()
+        """Whether to ask one more upstream after a silence of those that were asked."""
+        return self.route.is_idempotent and self._may_send()
 
     def _hedge_wait(self) -> Seconds:
         return self.placements.hedge_after(self.service, self.route)
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -17,10 +17,12 @@
     BudgetRule,
 )
 from ..decisions import (
+    CallPace,
     Failure,
     RatioBudget,
     RecentLatency,
     Replica,
+    choose_fade,
     choose_hedge_delay,
     choose_replica,
     choose_return,
@@ -77,6 +79,7 @@
         self._waiting: dict[ServiceId, dict[asyncio.Future[None], Waiter]] = (
             defaultdict(dict)
         )
+        self._paces: dict[ServiceId, CallPace] = defaultdict(CallPace)
         self._numbers = count(1)
         kernel.bus.subscribe(UPSTREAM_GONE, self._forget)
 
@@ -124,6 +127,7 @@
     def count_request(self, service: ServiceId) -> None:
         """Count a caller's request for a service, which earns it extra sends."""
         self._budget(service).earn()
+        self._paces[service].record(_now())
 
     def spend_extra(self, service: ServiceId, kind: ExtraSend) -> bool:
         """Take one extra send from a service's budget; False when it is spent."""
@@ -198,6 +202,9 @@
             for target in targets.values()
             if self._cold.admits(target.upstream)
         ]
+        fade_time = choose_fade(self._paces[service].gap)
+        for replica in replicas:
+            replica.fade_time = fade_time
         usual = self._usual(route)
         chosen = choose_replica(replicas, self._zone, usual, now)
         return None if chosen is None else targets[chosen.upstream]
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -71,6 +71,54 @@
     run(scene())
 
 
+def test_slow_upstream_is_remembered_by_hosts_with_little_traffic(run):
+    """Asked two or three times a second by each host, it is not tried anew each time.
+
+    Nine hosts, one slow upstream in the zone of three of them: what they send it is a
+    small part of what those three would send it if it were well.
+    """
+
+    async def scene():
+        async with Edge(hosts=9) as edge:
+            edge.add_service('one', work=0.02)
+            edge.configure(one_route('one', targetLatencyMs=100))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 22, 3)
+            slow = edge.by_service['one'][0]
+            slow.work = 0.2
+            await replay(edge, 22, 1)
+            forget_arrivals(edge)
+            asked = len(await replay(edge, 22, 7))
+            assert len(slow.arrivals) < 0.15 * asked / 3
+            slow.work = 0.02
+            await replay(edge, 22, 6)
+            forget_arrivals(edge)
+            asked = len(await replay(edge, 22, 4))
+            assert len(slow.arrivals) > 0.6 * asked / 3
+
+    run(scene())
+
+
+def test_second_hedge_reaches_the_replica_that_answers(run):
+    """Two replicas of a shard pause: the third is asked within the objective."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            for shard in SHARDS:
+                edge.add_service(shard, work=0.01)
+            edge.configure(shard_route(SHARDS, targetLatencyMs=72, maxAttempts=3))
+            await asyncio.sleep(SETTLE)
+            await replay(edge, 20, 2, path='/all/x')
+            for shard in SHARDS[:3]:
+                for upstream in edge.by_service[shard][:2]:
+                    upstream.pause_until = asyncio.get_running_loop().time() + 0.5
+            outcomes = await replay(edge, 1, 1, path='/all/x')
+            assert share_in_time(outcomes, Merged, 0.072) == 1
+            assert outcomes[0][0].missing == 0
+
+    run(scene())
+
+
 def test_upstream_that_fails_fast_does_not_look_idle(run):
     """Failing at once, it would draw all traffic; it gets a small part of it."""
 
