Read settings again after SIGHUP or a change of the file

Change: SettingsReload looks once a second and on SIGHUP; rules (budget of extra sends, cold bound, drain time, seeds) are a service, RULES, whose changes are announced. An unreadable file leaves what holds and says why. Addresses and names hold until the next start, and the line says so. Tests: three of the reload (taken, unreadable, without a signal) and test_changed_rules_hold_at_once; none of them could run before.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -18,14 +18,14 @@
     PEER_TRANSPORT,
     PEERS,
     PLACEMENTS,
+    RULES,
     SHARED_STATE,
     STATE_CODEC,
     SUSPECTS,
     TIMELINE,
     UPSTREAM_LINES,
-    BudgetRule,
-    ColdRule,
     Counters,
+    EdgeRules,
     Identity,
     ObjectStore,
     PeerTransport,
@@ -34,13 +34,14 @@
     UpstreamLines,
 )
 from .kernel import Kernel, ServiceKey
-from .model import HostEntry, HostId, Seconds
+from .model import HostEntry, HostId
 from .services import (
     ColdUpstreams,
     HostFleet,
     HostLifecycle,
     HostNews,
     HostPlacements,
+    HostRules,
     HostSharedState,
     HostSuspects,
     PeerLinks,
@@ -66,23 +67,6 @@
     timeline: Timeline
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EdgeRules:
-    """What the platform tells of other hosts, and lets all of them together do.
-
-    Attributes:
-        extra: bounds on extra sends to a service.
-        cold: bounds on what cold upstreams are sent.
-        drain_time: seconds for which upstreams that leave may be sent work.
-        seeds: hosts that may know the others while the store does not answer.
-    """
-
-    extra: BudgetRule
-    cold: ColdRule
-    drain_time: Seconds
-    seeds: tuple[HostId, ...] = ()
-
-
 def assemble_edge(
     identity: Identity, entry: HostEntry, ports: EdgePorts, rules: EdgeRules, seed: int
 ) -> Kernel:
@@ -101,17 +85,18 @@
         return kernel.find(FLEET).live_hosts()
 
     _provide_ports(kernel, identity, ports)
+    kernel.provide(RULES, HostRules(kernel, rules))
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
-    kernel.provide(DIRECTORY, UpstreamDirectory(kernel, rules.drain_time))
-    kernel.provide(FLEET, HostFleet(kernel, entry, rules.seeds))
+    kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
+    kernel.provide(FLEET, HostFleet(kernel, entry))
     kernel.provide(NEWS, HostNews(kernel))
     kernel.provide(SUSPECTS, HostSuspects(kernel, live_hosts))
     kernel.provide(CRASHES, UpstreamCrashes(kernel))
-    kernel.provide(COLD, ColdUpstreams(kernel, rules.cold))
+    kernel.provide(COLD, ColdUpstreams(kernel))
     kernel.provide(LINES, UpstreamChannels(kernel))
-    kernel.provide(PLACEMENTS, HostPlacements(kernel, rules.extra, seed))
+    kernel.provide(PLACEMENTS, HostPlacements(kernel, seed))
     kernel.provide(ENTRY, RequestEntry(kernel))
     kernel.provide(FOLLOWER, StoreFollower(kernel, seed))
     return kernel
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 from contextlib import AsyncExitStack
+from pathlib import Path
 from types import TracebackType
 from typing import Self
 
@@ -12,9 +13,18 @@
 import uvicorn
 import uvloop
 
-from ._edge import EdgePorts, EdgeRules, assemble_edge
+from ._edge import EdgePorts, assemble_edge
 from ._listening import QuietServer
-from .contracts import FLEET, LIFECYCLE, BudgetRule, ColdRule, Identity
+from ._reload import SettingsReload
+from .contracts import (
+    FLEET,
+    LIFECYCLE,
+    RULES,
+    BudgetRule,
+    ColdRule,
+    EdgeRules,
+    Identity,
+)
 from .kernel import Kernel
 from .model import HostEntry, Incarnation, Seconds
 from .observability import render_metrics
@@ -65,6 +75,11 @@
     ) -> None:
         await self._stack.aclose()
 
+    def take_settings(self, settings: HostSettings) -> None:
+        """Put the rules of changed settings in force."""
+        self._settings = settings
+        self.kernel.find(RULES).replace(_read_rules(settings))
+
     async def leave(self) -> bool:
         """Serve on until the balancer sends nothing more, then end what was taken.
 
@@ -80,26 +95,34 @@
         return await lifecycle.drain(Seconds(max(0, left)))
 
 
-async def _serve(settings: HostSettings) -> bool:
+async def _serve(path: Path, settings: HostSettings) -> bool:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     log = structlog.get_logger()
-    loop.add_signal_handler(signal.SIGHUP, log.info, 'reload asked for')
-    async with EdgeProcess(settings) as process:
+    async with EdgeProcess(settings) as process, asyncio.TaskGroup() as watching:
+        reload = SettingsReload(path, settings, process.take_settings)
+        loop.add_signal_handler(signal.SIGHUP, reload.reload)
+        looking = watching.create_task(reload.run())
         log.info('started', host=settings.host, callers=settings.callers)
         await stopped.wait()
+        looking.cancel()
         log.info('stopping')
         drained = await process.leave()
         log.info('stopped', drained=drained)
     return drained
 
 
-def run_edge(settings: HostSettings) -> bool:
-    """Serve until SIGTERM or SIGINT; tell whether the shutdown cut nothing."""
+def run_edge(path: Path, settings: HostSettings) -> bool:
+    """Serve until SIGTERM or SIGINT; tell whether the shutdown cut nothing.
+
+    Args:
+        path: the settings file, which is read again when it changes.
+        settings: what it says now.
+    """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_serve(settings))
+        return runner.run(_serve(path, settings))
 
 
 def _assemble(settings: HostSettings) -> Kernel:
@@ -114,7 +137,13 @@
         peer_transport=GrpcTransport(settings.host),
         timeline=HostTimeline(identity),
     )
-    rules = EdgeRules(
+    entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
+    seed = random.SystemRandom().randrange(MAX_SEED)
+    return assemble_edge(identity, entry, ports, _read_rules(settings), seed)
+
+
+def _read_rules(settings: HostSettings) -> EdgeRules:
+    return EdgeRules(
         extra=BudgetRule(
             settings.retry_ratio,
             settings.retry_slack,
@@ -124,9 +153,6 @@
         drain_time=settings.drain_time,
         seeds=settings.seeds,
     )
-    entry = HostEntry(name=settings.name, host=settings.host, zone=settings.zone)
-    seed = random.SystemRandom().randrange(MAX_SEED)
-    return assemble_edge(identity, entry, ports, rules, seed)
 
 
 def _make_server(application: Application, address: str) -> QuietServer:
--- a/src/rattanspoke/commands/_host.py
+++ b/src/rattanspoke/commands/_host.py
@@ -30,12 +30,13 @@
 
     def handle(self) -> int:
         """Check the settings and serve."""
-        path = self.argument('settings') or os.environ.get(SETTINGS_VARIABLE, '')
+        named = self.argument('settings') or os.environ.get(SETTINGS_VARIABLE, '')
+        path = Path(named)
         try:
-            settings = load_host_settings(Path(path))
+            settings = load_host_settings(path)
         except SettingsError as error:
             self.line_error(str(error), style='error')
             return ExitCode.INVALID
         configure_logs('info', sys.stdout)
         faulthandler.enable()  # a fault in native code leaves a trace on stderr
-        return ExitCode.OK if run_edge(settings) else ExitCode.FAILED
+        return ExitCode.OK if run_edge(path, settings) else ExitCode.FAILED
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -243,6 +243,34 @@
     slack: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EdgeRules:
+    """What the platform tells of other hosts, and lets all of them together do.
+
+    Attributes:
+        extra: bounds on extra sends to a service.
+        cold: bounds on what cold upstreams are sent.
+        drain_time: seconds for which upstreams that leave may be sent work.
+        seeds: hosts that may know the others while the store does not answer.
+    """
+
+    extra: BudgetRule
+    cold: ColdRule
+    drain_time: Seconds
+    seeds: tuple[HostId, ...] = ()
+
+
+class Rules(Protocol):
+    """The rules in force, which the platform may change while a host runs."""
+
+    @property
+    def current(self) -> EdgeRules:
+        """The rules that hold now."""
+
+    def replace(self, rules: EdgeRules) -> None:
+        """Put other rules in force, and announce them."""
+
+
 class Cold(Protocol):
     """Which upstreams are cold, and what this host may send them."""
 
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -14,12 +14,14 @@
     Cold,
     Crashes,
     Directory,
+    EdgeRules,
     Entry,
     Fleet,
     Lines,
     News,
     ObjectStore,
     Placements,
+    Rules,
     SharedState,
     StateCodec,
     UpstreamLines,
@@ -73,6 +75,7 @@
 UPSTREAM_LINES: ServiceKey[UpstreamLines] = ServiceKey('upstream lines')
 SHARED_STATE: ServiceKey[SharedState] = ServiceKey('shared state')
 DIRECTORY: ServiceKey[Directory] = ServiceKey('directory')
+RULES: ServiceKey[Rules] = ServiceKey('rules')
 FLEET: ServiceKey[Fleet] = ServiceKey('fleet')
 COLD: ServiceKey[Cold] = ServiceKey('cold upstreams')
 LINES: ServiceKey[Lines] = ServiceKey('lines')
@@ -80,6 +83,7 @@
 PLACEMENTS: ServiceKey[Placements] = ServiceKey('placements')
 ENTRY: ServiceKey[Entry] = ServiceKey('entry')
 
+RULES_CHANGED: Topic[EdgeRules] = Topic('rules changed')
 PULSE_HEARD: Topic[Pulse] = Topic('pulse heard')
 UPSTREAM_GONE: Topic[UpstreamId] = Topic('upstream gone')
 CALL_BROKEN: Topic[BrokenCall] = Topic('call broken off')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -33,6 +33,7 @@
 from ._evidence import CONFIRM_TIME, CrashEvidence
 from ._extra import (
     first_hedge,
+    fit_extra_budget,
     make_extra_budget,
     may_hedge,
     share_slack,
@@ -262,6 +263,7 @@
     'count_needed',
     'find_surplus',
     'first_hedge',
+    'fit_extra_budget',
     'is_waiting_useful',
     'list_holders',
     'make_cold_bucket',
--- a/src/rattanspoke/decisions/_extra.py
+++ b/src/rattanspoke/decisions/_extra.py
@@ -32,6 +32,14 @@
     return RatioBudget(ratio=ratio * SAFE_PART, capacity=capacity, saved=saved)
 
 
+def fit_extra_budget(
+    budget: RatioBudget, ratio: float, slack: float, live_hosts: int
+) -> None:
+    """Keep a budget to one host's part while rules and the fleet's size change."""
+    budget.ratio = ratio * SAFE_PART
+    budget.resize(share_slack(slack, live_hosts))
+
+
 def share_slack(slack: float, live_hosts: int) -> float:
     """Return one host's part of the extra sends that a window allows beside the ratio.
 
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -18,6 +18,7 @@
 from ._owner import UpstreamOwner
 from ._peers import PeerLinks
 from ._placements import HostPlacements
+from ._rules import HostRules
 from ._searches import HostSearches, fingerprint_search
 from ._seats import HostSeats
 from ._state import HostSharedState
@@ -40,6 +41,7 @@
     'HostNews',
     'HostOrganisations',
     'HostPlacements',
+    'HostRules',
     'HostSearches',
     'HostSeats',
     'HostSharedState',
--- a/src/rattanspoke/services/_cold.py
+++ b/src/rattanspoke/services/_cold.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..contracts import FLEET, IDENTITY, SHARED_STATE, STATE_CHANGED, ColdRule
+from ..contracts import FLEET, IDENTITY, RULES, SHARED_STATE, STATE_CHANGED
 from ..decisions import ColdBound, TokenBucket, make_cold_bucket
 from ..kernel import Kernel
 from ..model import (
@@ -25,11 +25,11 @@
 class ColdUpstreams:
     """Keep a bucket for each upstream that is cold and whose service gives a rate."""
 
-    def __init__(self, kernel: Kernel, rule: ColdRule) -> None:
+    def __init__(self, kernel: Kernel) -> None:
+        self._rules = kernel.find(RULES)
         self._state = kernel.find(SHARED_STATE)
         self._fleet = kernel.find(FLEET)
         self._host = kernel.find(IDENTITY).host
-        self._bound = ColdBound(rule.factor, rule.slack)
         self._cold: dict[UpstreamId, _Cold] = {}
         kernel.bus.subscribe(STATE_CHANGED, self._note_change)
 
@@ -72,8 +72,9 @@
         if known is not None:
             known.until = until
             return
+        rule = self._rules.current.cold
         bucket = make_cold_bucket(
-            self._bound,
+            ColdBound(rule.factor, rule.slack),
             traits.cold_rate,
             self._host,
             self._fleet.known_hosts(),
--- a/src/rattanspoke/services/_directory.py
+++ b/src/rattanspoke/services/_directory.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ..contracts import STATE_CHANGED, UPSTREAM_GONE
+from ..contracts import RULES, RULES_CHANGED, STATE_CHANGED, UPSTREAM_GONE, EdgeRules
 from ..decisions import Absences, choose_hold
 from ..kernel import Kernel
 from ..model import (
@@ -24,14 +24,15 @@
 class UpstreamDirectory:
     """Upstreams by service, without those that leave and those of evacuated zones."""
 
-    def __init__(self, kernel: Kernel, drain_time: Seconds) -> None:
+    def __init__(self, kernel: Kernel) -> None:
         self._bus = kernel.bus
-        self._absences = Absences(choose_hold(drain_time))
+        self._absences = Absences(choose_hold(kernel.find(RULES).current.drain_time))
         self._log = structlog.get_logger()
         self._known: dict[UpstreamId, Registration] = {}
         self._evacuated: set[ZoneId] = set()
         self._by_service: dict[ServiceId, tuple[Registration, ...]] | None = None
         kernel.bus.subscribe(STATE_CHANGED, self._note_change)
+        kernel.bus.subscribe(RULES_CHANGED, self._take_rules)
 
     def replicas(self, service: ServiceId) -> tuple[Registration, ...]:
         """Return the upstreams of a service that may be sent new work."""
@@ -43,6 +44,9 @@
             self._by_service = self._sort_by_service()
         return self._by_service.get(service, ())
 
+    def _take_rules(self, rules: EdgeRules) -> None:
+        self._absences.hold = choose_hold(rules.drain_time)
+
     def _sort_by_service(self) -> dict[ServiceId, tuple[Registration, ...]]:
         found: dict[ServiceId, list[Registration]] = defaultdict(list)
         for registration in (*self._known.values(), *self._absences.list_held()):
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Self
 
@@ -15,8 +14,11 @@
     OBJECT_STORE,
     PEERS,
     PULSE_HEARD,
+    RULES,
+    RULES_CHANGED,
     SHARED_STATE,
     STATE_CODEC,
+    EdgeRules,
     Respond,
 )
 from ..decisions import choose_interval, choose_links, choose_silence
@@ -60,9 +62,7 @@
 class HostFleet(TaskOwner):
     """Register this host, exchange pulses, and count who may be sending work."""
 
-    def __init__(
-        self, kernel: Kernel, entry: HostEntry, seeds: Iterable[HostId]
-    ) -> None:
+    def __init__(self, kernel: Kernel, entry: HostEntry) -> None:
         super().__init__()
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
@@ -72,7 +72,7 @@
         self._state = kernel.find(SHARED_STATE)
         self._lifecycle = kernel.find(LIFECYCLE)
         self._entry = entry
-        self._seeds = tuple(seeds)
+        self._rules = kernel.find(RULES)
         self._others: dict[HostId, _Peer] = {}
         self._links: tuple[HostId, ...] | None = None
         self._gone: deque[HostId] = deque(maxlen=TOLD_GONE)
@@ -109,8 +109,8 @@
 
     async def __aenter__(self) -> Self:
         self._peers.serve_now(Pulse, self._take_pulse)
-        for seed in self._seeds:
-            self._call(seed)
+        self._call_seeds(self._rules.current)
+        self._kernel.bus.subscribe(RULES_CHANGED, self._call_seeds)
         self._tasks.spawn(self._register())
         self._tasks.spawn(self._send_pulses())
         return self
@@ -131,6 +131,10 @@
                     self._call(host)
             self._note_silence(now)
 
+    def _call_seeds(self, rules: EdgeRules) -> None:
+        for seed in rules.seeds:
+            self._call(seed)
+
     def _call(self, host: HostId) -> None:
         def note(reply: Message | WorkError) -> None:
             if isinstance(reply, Pulse):
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -13,8 +13,8 @@
     DIRECTORY,
     FLEET,
     IDENTITY,
+    RULES,
     UPSTREAM_GONE,
-    BudgetRule,
 )
 from ..decisions import (
     CallPace,
@@ -27,11 +27,11 @@
     choose_replica,
     choose_return,
     first_hedge,
+    fit_extra_budget,
     is_waiting_useful,
     make_extra_budget,
     may_hedge,
     rank_waiter,
-    share_slack,
 )
 from ..kernel import Kernel
 from ..model import (
@@ -65,14 +65,14 @@
 class HostPlacements:
     """Choose replicas by what became of the requests that this host sent them."""
 
-    def __init__(self, kernel: Kernel, rule: BudgetRule, seed: int) -> None:
+    def __init__(self, kernel: Kernel, seed: int) -> None:
         self._random = random.Random(seed)
         self._log = structlog.get_logger()
         self._zone = kernel.find(IDENTITY).zone
         self._directory = kernel.find(DIRECTORY)
         self._fleet = kernel.find(FLEET)
         self._cold = kernel.find(COLD)
-        self._rule = rule
+        self._rules = kernel.find(RULES)
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
         self._latencies: dict[RouteId, RecentLatency] = {}
         self._budgets: dict[ServiceId, RatioBudget] = {}
@@ -312,14 +312,14 @@
         return Seconds(max(LEAST_USUAL, learned))
 
     def _budget(self, service: ServiceId) -> RatioBudget:
-        rule, live_hosts = self._rule, self._fleet.live_count
+        rule, live_hosts = self._rules.current.extra, self._fleet.live_count
         budget = self._budgets.get(service)
         if budget is None:
             budget = make_extra_budget(
                 rule.ratio, rule.slack, live_hosts, is_unspent=rule.is_unspent
             )
             self._budgets[service] = budget
-        budget.resize(share_slack(rule.slack, live_hosts))
+        fit_extra_budget(budget, rule.ratio, rule.slack, live_hosts)
         return budget
 
     def _forget(self, upstream: UpstreamId) -> None:
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from rattanspoke._edge import EdgePorts, EdgeRules, assemble_edge
-from rattanspoke.contracts import ENTRY, BudgetRule, ColdRule, Identity
+from rattanspoke._edge import EdgePorts, assemble_edge
+from rattanspoke.contracts import ENTRY, BudgetRule, ColdRule, EdgeRules, Identity
 from rattanspoke.kernel import Kernel
 from rattanspoke.model import (
     CallerRequest,
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -1,10 +1,11 @@
 """Hosts on the users' platform: routes, parts, answers and refusals."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
-from rattanspoke.contracts import FLEET, NEWS, SHARED_STATE
+from rattanspoke.contracts import FLEET, NEWS, RULES, SHARED_STATE, BudgetRule
 from rattanspoke.decisions import FOLLOWERS, WATCH_WAIT
 from rattanspoke.model import (
     Failed,
@@ -235,6 +236,30 @@
     run(scene())
 
 
+def test_changed_rules_hold_at_once(run):
+    """A reload shrinks the budget of extra sends and calls new seeds."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', fails=True)
+            edge.configure(one_route('one', maxAttempts=3))
+            await asyncio.sleep(SETTLE)
+            await edge.ask('host-0')
+            rules = edge.kernels['host-0'].find(RULES)
+            rules.replace(replace(rules.current, extra=BudgetRule(0, 0)))
+            for _ in range(5):
+                await edge.ask('host-0')
+                await asyncio.sleep(1)
+            before = sum(len(each.arrivals) for each in edge.by_service['one'])
+            for _ in range(5):
+                await edge.ask('host-0')
+                await asyncio.sleep(1)
+            after = sum(len(each.arrivals) for each in edge.by_service['one'])
+            assert after - before == 5
+
+    run(scene())
+
+
 def test_caller_that_leaves_cancels_the_work(run):
     """When a request is cancelled the upstreams' work is broken off."""
 
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -1,11 +1,13 @@
 """The platform's settings file, and log lines that are bounded and never block."""
 
+import asyncio
 import json
 import os
 
 import pytest
 import structlog
 
+from rattanspoke._reload import LOOK_INTERVAL, SettingsReload
 from rattanspoke.model import SettingsError
 from rattanspoke.observability import configure_logs
 from rattanspoke.platform import load_host_settings
@@ -72,6 +74,52 @@
     assert '\n' not in str(caught.value)
 
 
+@pytest.fixture
+def reloading(tmp_path):
+    """Return a settings file, its reload, and what the reload put in force."""
+    path = write(tmp_path, SETTINGS)
+    taken = []
+    return path, SettingsReload(path, load_host_settings(path), taken.append), taken
+
+
+def test_reload_puts_changed_settings_in_force(reloading):
+    """What changed is taken, and what holds from the next start is told apart."""
+    path, reload, taken = reloading
+    text = SETTINGS.replace('Retries=52', 'Retries=20').replace(':8226', ':9000')
+    path.write_text(text)
+    with structlog.testing.capture_logs() as lines:
+        reload.reload()
+    assert taken[-1].retry_slack == 20
+    assert lines[0]['changed'] == ['retry_slack']
+    assert lines[0]['at_next_start'] == ['callers']
+
+
+def test_unreadable_settings_leave_the_last_good_ones(reloading):
+    """A reload that fails says why and changes nothing."""
+    path, reload, taken = reloading
+    path.write_text('zone=tacoma\n')
+    with structlog.testing.capture_logs() as lines:
+        reload.reload()
+    assert not taken
+    assert 'is missing' in lines[0]['reason']
+
+
+def test_file_that_changes_without_a_signal_is_read_again(run, reloading):
+    """A change is seen within the interval between looks, and once."""
+    path, reload, taken = reloading
+
+    async def scene():
+        looking = asyncio.ensure_future(reload.run())
+        await asyncio.sleep(LOOK_INTERVAL * 3)
+        assert not taken
+        path.write_text(SETTINGS + 'bounds.warmupSlack=9\n')
+        await asyncio.sleep(LOOK_INTERVAL * 3)
+        looking.cancel()
+        assert [each.cold_slack for each in taken] == [9]
+
+    run(scene())
+
+
 @pytest.fixture
 def pipe():
     """Yield the ends of a pipe, the second one as a text stream, for log lines."""
