Split the slack of extra sends between saved ones and restarts

Change: hosts save 0.55 of the slack at most and a restarted one begins with 0.27 of that; two restarts of all hosts in a window still fit in 0.85 of it.

--- a/src/rattanspoke/decisions/_extra.py
+++ b/src/rattanspoke/decisions/_extra.py
@@ -11,9 +11,11 @@
 from ._budget import RatioBudget
 
 RETRY_RESERVE = 0.25  # of the budget, which hedges leave to retries
-SAFE_PART = 0.85  # of the allowed ratio and slack; views of the fleet's size may differ
-# Two restarts of every host in one window stay within the slack beside SAFE_PART.
-START_PART = 0.08  # of its capacity that a restarted host has saved
+SAFE_PART = 0.85  # of the allowed ratio; views of the fleet's size may differ
+SLACK_PART = 0.55  # of the slack that hosts have saved at most
+# Two restarts of every host in one window stay within SAFE_PART of the slack, and a
+# restarted host has enough saved for a hedge.
+START_PART = (SAFE_PART - SLACK_PART) / 2 / SLACK_PART  # of what it saves at most
 
 
 def make_extra_budget(
@@ -47,7 +49,7 @@
         slack: extra sends in a window, over all hosts.
         live_hosts: hosts that share them.
     """
-    return max(1, slack * SAFE_PART / max(1, live_hosts))
+    return max(1, slack * SLACK_PART / max(1, live_hosts))
 
 
 def may_hedge(budget: RatioBudget) -> bool:
