Step back from the balancer while cut off and short of shards; split waiting rooms

Change: a host that hears no host of another zone, and fails most of at least four searches in 2 s, answers its readiness probe with 503 and closes callers' connections after their answers (decisions/_readiness.py, services/_readiness.py). It serves whoever comes, and is ready again once it hears another zone. A cut-off zone that covers enough stays in rotation. The waiting part of HostPlacements became WaitingRoom (services/_rooms.py); behaviour is unchanged. Tests: test_cut_off_zone_that_cannot_cover_steps_back.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -18,6 +18,7 @@
     PEER_TRANSPORT,
     PEERS,
     PLACEMENTS,
+    READINESS,
     RULES,
     SHARED_STATE,
     STATE_CODEC,
@@ -41,6 +42,7 @@
     HostLifecycle,
     HostNews,
     HostPlacements,
+    HostReadiness,
     HostRules,
     HostSharedState,
     HostSuspects,
@@ -97,6 +99,7 @@
     kernel.provide(COLD, ColdUpstreams(kernel))
     kernel.provide(LINES, UpstreamChannels(kernel))
     kernel.provide(PLACEMENTS, HostPlacements(kernel, seed))
+    kernel.provide(READINESS, HostReadiness(kernel))
     kernel.provide(ENTRY, RequestEntry(kernel))
     kernel.provide(FOLLOWER, StoreFollower(kernel, seed))
     return kernel
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -168,6 +168,10 @@
     def live_count(self) -> int:
         """Hosts that may be sending work to upstreams, this one included."""
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no host of any other zone is heard, though some exist."""
+
     def live_hosts(self) -> dict[HostId, ZoneId]:
         """Return the hosts that were heard lately, this one included."""
 
@@ -333,6 +337,20 @@
         """Clear a suspect that every upstream it was sent to has run."""
 
 
+class Readiness(Protocol):
+    """Whether this host asks the balancer for callers."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+
+    def sheds_callers(self) -> bool:
+        """Whether callers that are connected should go to another host."""
+
+    def note_search(self, *, is_failed: bool) -> None:
+        """Count a search that ended, failed when too few shards were covered."""
+
+
 class Entry(Protocol):
     """Serves requests of callers."""
 
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -21,6 +21,7 @@
     News,
     ObjectStore,
     Placements,
+    Readiness,
     Rules,
     SharedState,
     StateCodec,
@@ -81,6 +82,7 @@
 LINES: ServiceKey[Lines] = ServiceKey('lines')
 NEWS: ServiceKey[News] = ServiceKey('news')
 PLACEMENTS: ServiceKey[Placements] = ServiceKey('placements')
+READINESS: ServiceKey[Readiness] = ServiceKey('readiness')
 ENTRY: ServiceKey[Entry] = ServiceKey('entry')
 
 RULES_CHANGED: Topic[EdgeRules] = Topic('rules changed')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -111,6 +111,7 @@
     UNKNOWN_LIFE,
     Ramp,
 )
+from ._readiness import SteppingBack
 from ._recent import (
     CallPace,
     RecentLatency,
@@ -236,6 +237,7 @@
     'RecentLatency',
     'Replica',
     'RouteTable',
+    'SteppingBack',
     'Suspicion',
     'Throttle',
     'Ticket',
--- /dev/null
+++ b/src/rattanspoke/decisions/_readiness.py
@@ -0,0 +1,45 @@
+"""Whether the balancer should send callers to this host.
+
+Load pattern: an availability zone is cut off from the others and holds too few replicas
+to cover a search. Its hosts would fail most searches of the callers that the balancer
+goes on sending them, while hosts of other zones could serve those callers. A host that
+fails most searches while it hears no other zone steps back until it hears one again. A
+cut-off zone that covers enough goes on serving, and so does every host that is asked.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..model import Seconds
+
+RECENT = Seconds(2)  # searches that are judged; the balancer itself acts within 2 s
+LEAST_SEARCHES = 4  # of that time, from which a host steps back
+FAILING_PART = 0.5  # of them, above which its callers are better off elsewhere
+
+
+@dataclass(slots=True)
+class SteppingBack:
+    """How searches ended lately, and whether this host has stepped back."""
+
+    is_back: bool = False
+    _ended: deque[tuple[Seconds, bool]] = field(default_factory=deque)
+
+    def note_search(self, now: Seconds, *, is_failed: bool) -> None:
+        """Count a search that ended, failed when too few shards were covered."""
+        self._ended.append((now, is_failed))
+
+    def judge(self, now: Seconds, *, is_isolated: bool) -> bool:
+        """Return whether callers are better off at other hosts.
+
+        Args:
+            now: the time, on the loop's clock.
+            is_isolated: whether no host of any other zone is heard, though some exist.
+        """
+        while self._ended and now - self._ended[0][0] > RECENT:
+            self._ended.popleft()
+        if not is_isolated:
+            self.is_back = False
+        elif len(self._ended) >= LEAST_SEARCHES:
+            failed = sum(is_failed for _, is_failed in self._ended)
+            self.is_back = failed > FAILING_PART * len(self._ended)
+        return self.is_back
--- a/src/rattanspoke/platform/_front.py
+++ b/src/rattanspoke/platform/_front.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any, TypeAlias
 
-from ..contracts import COUNTERS, ENTRY, LIFECYCLE, SHARED_STATE, Metric
+from ..contracts import COUNTERS, ENTRY, READINESS, SHARED_STATE, Metric
 from ..kernel import Kernel
 from ..model import (
     MILLISECONDS,
@@ -87,19 +87,14 @@
         if scope['path'] == '/metrics':
             await _send(send, 200, [], render(kernel).encode())
         elif scope['path'] == READINESS_PATH:
-            await _send(send, 200 if _is_ready(kernel) else UNAVAILABLE, [], b'')
+            is_ready = kernel.find(READINESS).is_ready
+            await _send(send, 200 if is_ready else UNAVAILABLE, [], b'')
         else:
             await _send(send, 404, [], b'')
 
     return serve
 
 
-def _is_ready(kernel: Kernel) -> bool:
-    if kernel.find(LIFECYCLE).is_leaving:
-        return False
-    return kernel.find(SHARED_STATE).is_complete
-
-
 async def _read_request(
     kernel: Kernel, scope: Message, receive: Receive
 ) -> CallerRequest | Rejected:
@@ -184,7 +179,7 @@
 
 async def _write(kernel: Kernel, send: Send, answer: CallerAnswer) -> None:
     headers: list[tuple[bytes, bytes]] = []
-    if kernel.find(LIFECYCLE).is_leaving:
+    if kernel.find(READINESS).sheds_callers():
         headers.append((b'connection', b'close'))
     match answer:
         case Relayed(reply):
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -18,6 +18,7 @@
 from ._owner import UpstreamOwner
 from ._peers import PeerLinks
 from ._placements import HostPlacements
+from ._readiness import HostReadiness
 from ._rules import HostRules
 from ._searches import HostSearches, fingerprint_search
 from ._seats import HostSeats
@@ -41,6 +42,7 @@
     'HostNews',
     'HostOrganisations',
     'HostPlacements',
+    'HostReadiness',
     'HostRules',
     'HostSearches',
     'HostSeats',
--- a/src/rattanspoke/services/_entry.py
+++ b/src/rattanspoke/services/_entry.py
@@ -11,6 +11,7 @@
     LIFECYCLE,
     LINES,
     PLACEMENTS,
+    READINESS,
     SHARED_STATE,
     Metric,
 )
@@ -63,6 +64,7 @@
         self._counters = kernel.find(COUNTERS)
         self._lifecycle = kernel.find(LIFECYCLE)
         self._crashes = kernel.find(CRASHES)
+        self._readiness = kernel.find(READINESS)
         self._log = structlog.get_logger()
         self._table: RouteTable | None = None
         self._spread = WeightSpread()
@@ -189,6 +191,7 @@
         self._counters.observe(
             Metric.COVERAGE, len(gathering.covered) / len(shards.shards)
         )
+        self._readiness.note_search(is_failed=not gathering.is_enough)
         if gathering.is_enough:
             release_parts(running)
             return gathering.merge()
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -96,6 +96,13 @@
                 live[host] = peer.zone
         return live
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no host of any other zone is heard, though some exist."""
+        own, now = self._identity.zone, read_clock()
+        distant = [peer for peer in self._others.values() if peer.zone != own]
+        return bool(distant) and not any(self._is_live(each, now) for each in distant)
+
     def links(self) -> tuple[HostId, ...]:
         """Return the hosts that this one exchanges pulses with."""
         if self._links is None:
--- a/src/rattanspoke/services/_placements.py
+++ b/src/rattanspoke/services/_placements.py
@@ -1,6 +1,5 @@
 """What this host learned of upstreams, and the extra sends that it may still use."""
 
-import asyncio
 import random
 from collections import defaultdict
 from collections.abc import Collection
@@ -51,6 +50,7 @@
     UpstreamReply,
     Waiter,
 )
+from ._rooms import WaitingRoom
 from ._tasks import read_clock
 
 SILENT_RATIO = 8  # usual times without a reply that count as a failure
@@ -76,9 +76,7 @@
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
         self._latencies: dict[RouteId, RecentLatency] = {}
         self._budgets: dict[ServiceId, RatioBudget] = {}
-        self._waiting: dict[ServiceId, dict[asyncio.Future[None], Waiter]] = (
-            defaultdict(dict)
-        )
+        self._rooms: dict[ServiceId, WaitingRoom] = defaultdict(WaitingRoom)
         self._paces: dict[ServiceId, CallPace] = defaultdict(CallPace)
         self._numbers = count(1)
         kernel.bus.subscribe(UPSTREAM_GONE, self._forget)
@@ -87,7 +85,7 @@
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Registration | None:
         """Return an upstream for a second send, None when none has room to spare."""
-        if self._waiting[service]:
+        if not self._rooms[service].is_empty:
             return None
         return self._choose(service, route, tried)
 
@@ -104,7 +102,9 @@
             queue_time = Seconds(queue_time + self._usual(waiter.route))
             if not is_waiting_useful(opens_in, queue_time, waiter, _now()):
                 return None
-            await self._wait(service, waiter, max(opens_in or LOOK_AGAIN, LEAST_WAIT))
+            opens_in = max(opens_in or LOOK_AGAIN, LEAST_WAIT)
+            left = Seconds(waiter.give_up_at - read_clock())
+            await self._rooms[service].wait(waiter, min(left, opens_in))
             queue_time = Seconds(0)  # whoever is woken is the first
             target = self._choose(service, waiter.route, tried)
         return target
@@ -227,48 +227,19 @@
         opening = min(each.paused_until for each in replicas)
         return Seconds(max(0, opening - now))
 
-    async def _wait(
-        self, service: ServiceId, waiter: Waiter, opens_in: Seconds
-    ) -> None:
-        """Wait for a call's end, for a pause's end, or until the waiter gives up."""
-        left = waiter.give_up_at - read_clock()
-        room: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        waiting = self._waiting[service]
-        waiting[room] = waiter
-        try:
-            async with asyncio.timeout(min(left, opens_in)):
-                await room
-        except TimeoutError:
-            return
-        finally:
-            del waiting[room]
-
     def _queue_time(self, service: ServiceId, waiter: Waiter) -> Seconds:
         """Return the seconds until those that go before a waiter are sent."""
-        waiting = self._waiting[service]
-        if not waiting:
+        room = self._rooms[service]
+        if room.is_empty:
             return Seconds(0)
-        now = _now()
-        rank = rank_waiter(waiter, self._usual(waiter.route), now)
-        usual = [
-            self._usual(each.route)
-            for each in waiting.values()
-            if rank_waiter(each, self._usual(each.route), now) <= rank
-        ]
+        before = room.list_before(waiter, self._rank)
+        usual = sum(self._usual(each.route) for each in before)
         replicas = [self._find(each) for each in self._directory.replicas(service)]
-        room = sum(each.window.limit for each in replicas)
-        return Seconds(sum(usual) / max(1, room))
+        limit = sum(each.window.limit for each in replicas)
+        return Seconds(usual / max(1, limit))
 
-    def _wake(self, service: ServiceId) -> None:
-        """Let the first of those that wait for a service look for room."""
-        now = _now()
-        waiting = [
-            (rank_waiter(waiter, self._usual(waiter.route), now), number, room)
-            for number, (room, waiter) in enumerate(self._waiting[service].items())
-            if not room.done()
-        ]
-        if waiting:
-            min(waiting)[-1].set_result(None)
+    def _rank(self, waiter: Waiter) -> tuple[bool, int, float]:
+        return rank_waiter(waiter, self._usual(waiter.route), _now())
 
     def _log_pause(self, target: Registration, replica: Replica, now: Seconds) -> None:
         """Tell that an upstream is given a pause, and what led to it."""
@@ -291,7 +262,7 @@
         """Forget a call in flight; return its replica and when it was sent."""
         replica = self._find(target)
         sent = replica.calls.pop(call, now)
-        self._wake(target.service)
+        self._rooms[target.service].wake_first(self._rank)
         return replica, sent
 
     def _find(self, target: Registration) -> Replica:
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+from rattanspoke.contracts import READINESS
 from rattanspoke.model import Merged, Refused, Relayed
 
 from .edges import SETTLE, ZONES, Edge, one_route, shard_route
@@ -273,6 +274,41 @@
     run(scene())
 
 
+def test_cut_off_zone_that_cannot_cover_steps_back(run):
+    """Its hosts ask the balancer for no callers, serve those that come, and return.
+
+    A zone that is cut off and covers enough goes on asking for callers.
+    """
+
+    async def scene(shards_short):
+        async with Edge(hosts=6) as edge:
+            for shard in SHARDS:
+                edge.add_service(shard)
+            edge.configure(shard_route(SHARDS, minimum=0.89))
+            await asyncio.sleep(SETTLE)
+            cut_zone = [f'host-{number}' for number in (0, 3)]
+            others = [f'host-{number}' for number in (1, 2, 4, 5)]
+            for one in cut_zone:
+                for other in others:
+                    edge.network.cut(one, other)
+            for shard in SHARDS[:shards_short]:
+                for upstream in edge.by_service[shard]:
+                    upstream.is_dark = True
+            ready = await watch_readiness(edge, cut_zone, 4)
+            edge.network.heal()
+            healed = await watch_readiness(edge, cut_zone, 4)
+            return ready, healed, await watch_readiness(edge, others, 0.1)
+
+    assert run(scene(5)) == (False, True, True)
+    assert run(scene(1)) == (True, True, True)
+
+
+async def watch_readiness(edge, hosts, seconds):
+    """Search at some hosts for a while; tell whether all of them are ready then."""
+    await replay(edge, 30, seconds, path='/all/x', limit=0.3)
+    return all(edge.kernels[host].find(READINESS).is_ready for host in hosts)
+
+
 def test_cold_upstreams_get_no_more_than_they_bear(run):
     """A zone comes back cold: in any second all hosts together stay below the bound."""
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from rattanspoke.contracts import COUNTERS, ENTRY, LIFECYCLE, SHARED_STATE
+from rattanspoke.contracts import (
+    COUNTERS,
+    ENTRY,
+    FLEET,
+    LIFECYCLE,
+    READINESS,
+    SHARED_STATE,
+)
 from rattanspoke.kernel import Kernel
 from rattanspoke.model import (
     CallerLimits,
@@ -23,13 +30,19 @@
     UpstreamReply,
 )
 from rattanspoke.platform import make_caller_app, make_probe_app
-from rattanspoke.services import HostCounters, HostLifecycle
+from rattanspoke.services import HostCounters, HostLifecycle, HostReadiness
 
 LIMITS = CallerLimits(
     header_bytes=500, body_bytes=10, header_time=Seconds(3), idle_time=Seconds(15)
 )
 
 
+class FakeFleet:
+    """A fleet that is whole."""
+
+    is_isolated = False
+
+
 @dataclass
 class FakeState:
     """The shared state of a host that knows a desired state, or none."""
@@ -79,6 +92,8 @@
     kernel.provide(COUNTERS, HostCounters())
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(SHARED_STATE, FakeState())
+    kernel.provide(FLEET, FakeFleet())
+    kernel.provide(READINESS, HostReadiness(kernel))
     kernel.provide(ENTRY, entry)
     return kernel
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -87,6 +87,7 @@
         '_fingerprints',
         '_part',
         '_reports',
+        '_rooms',
         '_gathering',
     }
     for path in modules_of('services'):
