Blame no request for a connection that this host broke off itself

Cause: found on reading the change. A caller that leaves, or a search that gives up, breaks its connections off; the channel took that for a call that the upstream broke off, noted evidence of a crash and opened a connection anew. Change: only calls that somebody still waits for are evidence. The fake line of the tests ends an exchange that is broken off, as a real connection does. Tests: test_calls_that_a_host_breaks_off_itself_are_no_evidence failed before.

--- a/src/rattanspoke/services/_lines.py
+++ b/src/rattanspoke/services/_lines.py
@@ -170,7 +170,8 @@
         try:
             reply = await line.exchange(job.request, self.target.upstream, budget)
         except UpstreamError as error:
-            if error.reason is Reason.REPLY_BROKEN:
+            # A connection that this host broke off itself proves nothing.
+            if error.reason is Reason.REPLY_BROKEN and not job.is_over:
                 broken = BrokenCall(self.target.incarnation, job.request)
                 self.bus.announce(CALL_BROKEN, broken)
                 self._is_broken = True
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -92,6 +92,7 @@
     def __init__(self, upstream: FakeUpstream) -> None:
         self._upstream = upstream
         self._is_open = True
+        self._aborted = asyncio.Event()
 
     @property
     def is_reusable(self) -> bool:
@@ -112,7 +113,7 @@
         server.running += 1
         try:
             async with asyncio.timeout(budget):
-                await self._work(loop)
+                is_whole = await self._work_until_aborted(loop)
         except TimeoutError as error:
             self._is_open = False
             raise UpstreamError(Reason.DEADLINE, Outcome.UNKNOWN) from error
@@ -121,7 +122,7 @@
             raise
         finally:
             server.running -= 1
-        if server.breaks:
+        if server.breaks or not is_whole:
             self._is_open = False
             raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
         return self._reply(500 if server.fails else 200, Outcome.RAN)
@@ -129,6 +130,7 @@
     def abort(self) -> None:
         """Break the connection off."""
         self._is_open = False
+        self._aborted.set()
         if self._upstream.running:
             self._upstream.broken_off += 1
 
@@ -139,6 +141,19 @@
         loop.call_later(CRASH_TIME, setattr, server, 'is_down', False)
         raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
 
+    async def _work_until_aborted(self, loop) -> bool:
+        """Work; tell whether nobody broke the connection off meanwhile."""
+        working = asyncio.ensure_future(self._work(loop))
+        aborting = asyncio.ensure_future(self._aborted.wait())
+        try:
+            ended, _ = await asyncio.wait(
+                (working, aborting), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            working.cancel()
+            aborting.cancel()
+        return working in ended
+
     async def _work(self, loop) -> None:
         server = self._upstream
         if server.is_dark:
--- a/tests/test_edge_crashes.py
+++ b/tests/test_edge_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from rattanspoke.contracts import CALL_BROKEN
 from rattanspoke.decisions import CONFIRM_TIME, CrashEvidence
 from rattanspoke.model import (
     Fingerprint,
@@ -110,6 +111,26 @@
     run(scene())
 
 
+def test_calls_that_a_host_breaks_off_itself_are_no_evidence(run):
+    """A caller leaves, the connection is cut here, and no new one is opened for it."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', replicas=1, work=0.5)
+            edge.configure(one_route('one'))
+            await asyncio.sleep(SETTLE)
+            broken = []
+            edge.kernels['host-0'].bus.subscribe(CALL_BROKEN, broken.append)
+            asking = asyncio.ensure_future(edge.ask('host-0'))
+            await asyncio.sleep(0.1)
+            asking.cancel()
+            await asyncio.sleep(1)
+            assert not broken
+            assert edge.by_service['one'][0].open_lines == 0
+
+    run(scene())
+
+
 def test_crash_of_a_group_refuses_nobody(run):
     """Upstreams that go down together, twice, leave every search allowed."""
 
