Send nothing to an upstream that vanished alone

The store had turned two hosts away, the removal became known 0.86 s late, and each host then held the upstream for 2.2 s, as if its entry had lapsed with the store. Change: a vanished upstream is held only if its service would have none, or if more than a third as many vanish as are left, which is a lapse (decisions/_absence.py). Ruled out: a shorter hold, which lapsed entries need: they are back within 2 s.

--- a/src/rattanspoke/decisions/_absence.py
+++ b/src/rattanspoke/decisions/_absence.py
@@ -3,9 +3,13 @@
 Load pattern: the store is away for some seconds, the entries of healthy upstreams lapse
 meanwhile, and all of them are missing at once when it returns. Taken at its word, the
 store would empty every service; the upstreams write themselves in again within about
-two seconds. An upstream that does leave goes on serving for longer than that.
+two seconds. An upstream that does leave goes on serving for longer than that. One that
+vanishes alone has left: news of it may be late already, and others of its service are
+there to be sent work.
 """
 
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..model import Registration, RegistrationState, Seconds, UpstreamId
@@ -13,6 +17,9 @@
 # Healthy upstreams are back in the store within about 2 s of its return.
 RETURN_TIME = Seconds(2.2)
 DRAIN_PART = 0.75  # of the time for which leaving upstreams may be sent work
+# More entries than this, beside those that are left, vanish at once only in a lapse.
+LAPSE_PART = 1 / 3
+LEAST_LAPSE = 2  # entries; so few may leave at once in a small deployment too
 
 
 @dataclass(slots=True)
@@ -20,7 +27,7 @@
     """Upstreams that were ready when their entries vanished, and until when they count.
 
     Attributes:
-        hold: seconds for which a vanished upstream is still sent work.
+        hold: seconds for which a vanished upstream may still be sent work.
     """
 
     hold: Seconds
@@ -35,9 +42,21 @@
         """Let an entry that is back, in whatever state, speak for itself."""
         self._held.pop(upstream, None)
 
-    def list_held(self) -> tuple[Registration, ...]:
-        """Return the upstreams that are held."""
-        return tuple(registration for registration, _ in self._held.values())
+    def list_held(self, present: Iterable[Registration]) -> tuple[Registration, ...]:
+        """Return the vanished upstreams that are still sent work.
+
+        All of them after a lapse; else those whose service would have none.
+
+        Args:
+            present: the upstreams whose entries are there.
+        """
+        ready = Counter(
+            each.service for each in present if each.state is RegistrationState.READY
+        )
+        held = tuple(registration for registration, _ in self._held.values())
+        if len(held) > max(LEAST_LAPSE, LAPSE_PART * ready.total()):
+            return held
+        return tuple(each for each in held if not ready[each.service])
 
     def drop_expired(self, now: Seconds) -> tuple[UpstreamId, ...]:
         """Forget the upstreams that are gone for good, and return them."""
--- a/src/rattanspoke/services/_directory.py
+++ b/src/rattanspoke/services/_directory.py
@@ -49,7 +49,10 @@
 
     def _sort_by_service(self) -> dict[ServiceId, tuple[Registration, ...]]:
         found: dict[ServiceId, list[Registration]] = defaultdict(list)
-        for registration in (*self._known.values(), *self._absences.list_held()):
+        for registration in (
+            *self._known.values(),
+            *self._absences.list_held(self._known.values()),
+        ):
             if self._takes_work(registration):
                 found[registration.service].append(registration)
         return {service: tuple(each) for service, each in found.items()}
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -448,6 +448,27 @@
     run(scene())
 
 
+def test_upstream_that_vanishes_alone_gets_nothing_more(run):
+    """Hosts that hear late that an upstream left do not add a while of their own."""
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            add_shards(edge)
+            edge.configure(shard_route(SHARDS))
+            await asyncio.sleep(SETTLE)
+            gone = edge.by_service[SHARDS[0]][0]
+            edge.store.put('registrations', gone.name, None)
+            await asyncio.sleep(0.5)
+            gone.arrivals.clear()
+            for host in edge.kernels:
+                for _ in range(5):
+                    answer = await edge.ask(host, '/all/x')
+                    assert answer.missing == 0
+            assert not gone.arrivals
+
+    run(scene())
+
+
 @pytest.mark.parametrize('hosts', [6, 28])
 def test_calls_to_the_store_do_not_grow_with_the_fleet(run, hosts):
     """While nothing changes, hosts make no more calls than the two that follow."""
