Let no host rely on followers that the store fails

The store turned away the two hosts that were to wait on it; the others stepped in when no news came, heard the store, and rested again at once, since the chosen two were alive. Change: pulses say whether the store failed a host when it was last asked; the two that wait are chosen among the others. A host that the store failed looks every 2 s whether it is back. Tests: test_news_come_at_once_while_the_store_fails_those_that_follow_it failed before (a version 1 s old was not known).

--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -175,6 +175,9 @@
     def live_hosts(self) -> dict[HostId, ZoneId]:
         """Return the hosts that were heard lately, this one included."""
 
+    def seeing_hosts(self) -> dict[HostId, ZoneId]:
+        """Return the live hosts that the store has not failed lately."""
+
     def known_hosts(self) -> tuple[HostId, ...]:
         """Return the hosts that may be sending work, this one included."""
 
@@ -194,6 +197,13 @@
     def measure_age(self) -> Seconds:
         """Return the seconds since the store was heard, here or through peers."""
 
+    @property
+    def is_blind(self) -> bool:
+        """Whether the store failed this host when it was last asked."""
+
+    def note_lost(self, kind: StateKind) -> None:
+        """Count a call to the store that failed."""
+
     def may_rest(self) -> bool:
         """Whether other hosts wait on the store, and their news arrive here."""
 
--- a/src/rattanspoke/decisions/_topology.py
+++ b/src/rattanspoke/decisions/_topology.py
@@ -2,8 +2,9 @@
 
 Pulses go to every host of the own zone and to a few of every other zone, so that their
 number grows with the zone and not with the fleet. Waiting calls to the store are dear
-and bounded; two hosts wait and pass the news on, every other one steps in by itself
-as soon as no news of the store reaches it.
+and bounded; two hosts wait and pass the news on. Hosts that the store fails are not
+among the two, and every other one steps in by itself when no news of the store reaches
+it.
 """
 
 from collections import defaultdict
@@ -55,7 +56,7 @@
 
 
 def choose_followers(hosts: Mapping[HostId, ZoneId]) -> tuple[HostId, ...]:
-    """Return the hosts that wait on the store, of all hosts that are alive.
+    """Return the hosts that wait on the store, of those that live and that it answers.
 
     They are links of their zones, so that every host hears of them at once, and of
     different zones where there are several.
--- a/src/rattanspoke/model/_news.py
+++ b/src/rattanspoke/model/_news.py
@@ -17,6 +17,7 @@
         is_leaving: whether this host was told to stop.
         others: some other hosts that this one knows.
         gone: hosts that were found gone lately, for those that have no link to them.
+        is_blind: whether the store failed this host when it was last asked.
     """
 
     host: HostId
@@ -26,6 +27,7 @@
     is_leaving: bool = False
     others: tuple[tuple[HostId, ZoneId], ...] = ()
     gone: tuple[HostId, ...] = ()
+    is_blind: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -57,6 +57,7 @@
     heard: float | None = None
     is_leaving: bool = False
     is_up: bool = False
+    is_blind: bool = False
 
 
 class HostFleet(TaskOwner):
@@ -96,6 +97,16 @@
                 live[host] = peer.zone
         return live
 
+    def seeing_hosts(self) -> dict[HostId, ZoneId]:
+        """Return the live hosts that the store has not failed lately."""
+        seeing = self.live_hosts()
+        for host, peer in self._others.items():
+            if peer.is_blind:
+                seeing.pop(host, None)
+        if self._kernel.find(NEWS).is_blind:
+            del seeing[self._identity.host]
+        return seeing
+
     @property
     def is_isolated(self) -> bool:
         """Whether no host of any other zone is heard, though some exist."""
@@ -162,6 +173,7 @@
             is_leaving=self._lifecycle.is_leaving,
             others=others[:TOLD_OTHERS],
             gone=tuple(self._gone),
+            is_blind=self._kernel.find(NEWS).is_blind,
         )
 
     def _take_pulse(self, pulse: Pulse, sender: HostId, respond: Respond) -> None:
@@ -177,6 +189,7 @@
         peer.heard = read_clock()
         peer.is_up = True
         peer.is_leaving = pulse.is_leaving
+        peer.is_blind = pulse.is_blind
         for host, zone in pulse.others:
             if host != self._identity.host and host not in self._gone:
                 self._add(host, zone)
--- a/src/rattanspoke/services/_follower.py
+++ b/src/rattanspoke/services/_follower.py
@@ -22,6 +22,8 @@
 # Changes come in bursts, and each call is dear: the next watch takes several at once.
 GATHER_TIME = Seconds(0.15)
 REST_INTERVAL = Seconds(0.2)  # between looks at whether others still follow
+# Between looks of a host that the store failed, while others follow it.
+LOOK_INTERVAL = Seconds(2)
 LONGEST_BACKOFF = Seconds(0.8)  # a return of the store is seen within a second
 
 
@@ -36,7 +38,7 @@
         self._counters = kernel.find(COUNTERS)
         self._random = random.Random(seed)
         self._log = structlog.get_logger()
-        self._failing: set[StateKind] = set()
+        self._lost: dict[StateKind, float] = {}  # when the store failed last
 
     async def __aenter__(self) -> Self:
         for kind in StateKind:
@@ -46,7 +48,7 @@
     async def _follow(self, kind: StateKind) -> None:
         backoff = FIRST_BACKOFF
         while True:
-            if self._news.may_rest():
+            if self._news.may_rest() and not self._must_look(kind):
                 await asyncio.sleep(REST_INTERVAL)
                 continue
             try:
@@ -59,6 +61,11 @@
                 self._note_success(kind)
                 backoff = FIRST_BACKOFF
 
+    def _must_look(self, kind: StateKind) -> bool:
+        """Whether a host that lost the store is to see if it is back."""
+        lost = self._lost.get(kind)
+        return lost is not None and read_clock() - lost > LOOK_INTERVAL
+
     async def _read_once(self, kind: StateKind) -> None:
         known = self._state.revision(kind)
         if known == NO_REVISION:
@@ -75,11 +82,11 @@
 
     def _note_failure(self, kind: StateKind, error: PlatformError) -> None:
         self._counters.add(Metric.PLATFORM_FAILURES, kind.value)
-        if kind not in self._failing:
-            self._failing.add(kind)
+        self._news.note_lost(kind)
+        if kind not in self._lost:
             self._log.warning('store lost', kind=kind.value, reason=str(error))
+        self._lost[kind] = read_clock()
 
     def _note_success(self, kind: StateKind) -> None:
-        if kind in self._failing:
-            self._failing.discard(kind)
+        if self._lost.pop(kind, None) is not None:
             self._log.info('store regained', kind=kind.value, at=read_clock())
--- a/src/rattanspoke/services/_news.py
+++ b/src/rattanspoke/services/_news.py
@@ -41,6 +41,7 @@
         self._heard_indirectly = -LONG_AGO
         self._floors: dict[StateKind, Revision] = {}
         self._pulling: set[StateKind] = set()
+        self._lost: set[StateKind] = set()
         kernel.bus.subscribe(PULSE_HEARD, self._note_pulse)
 
     def measure_age(self) -> Seconds:
@@ -50,16 +51,25 @@
             own = Seconds(min(self._heard.values()))
         return Seconds(read_clock() - max(own, self._heard_indirectly))
 
+    @property
+    def is_blind(self) -> bool:
+        """Whether the store failed this host when it was last asked."""
+        return bool(self._lost)
+
+    def note_lost(self, kind: StateKind) -> None:
+        """Count a call to the store that failed."""
+        self._lost.add(kind)
+
     def may_rest(self) -> bool:
         """Whether other hosts wait on the store, and their news arrive here."""
         stale_age = choose_stale_age(self._fleet.pulse_interval())
         if not self._state.is_complete or self.measure_age() > stale_age:
             return False
-        return self._identity.host not in choose_followers(self._fleet.live_hosts())
+        return self._identity.host not in choose_followers(self._fleet.seeing_hosts())
 
     def take_list(self, kind: StateKind, listing: ObjectList) -> None:
         """Take a complete listing from the store; peers that lack it pull it."""
-        self._heard[kind] = read_clock()
+        self._note_heard(kind)
         before = self._state.revision(kind)
         self._floors[kind] = max(
             self._floors.get(kind, NO_REVISION),
@@ -73,7 +83,7 @@
         self, kind: StateKind, after: Revision, changes: ObjectList
     ) -> None:
         """Take changes from the store."""
-        self._heard[kind] = read_clock()
+        self._note_heard(kind)
         self._state.adopt_changes(kind, after, changes)
         if changes.objects:
             self._push(
@@ -90,6 +100,10 @@
         self._peers.serve(StateNews, self._take_news)
         return self
 
+    def _note_heard(self, kind: StateKind) -> None:
+        self._heard[kind] = read_clock()
+        self._lost.discard(kind)
+
     def _push(self, news: StateNews, source: HostId | None = None) -> None:
         for host in self._fleet.links():
             if host != source:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rattanspoke.contracts import FLEET, NEWS, RULES, SHARED_STATE, BudgetRule
-from rattanspoke.decisions import FOLLOWERS, WATCH_WAIT
+from rattanspoke.decisions import FOLLOWERS, WATCH_WAIT, choose_followers
 from rattanspoke.model import (
     Failed,
     Merged,
@@ -331,6 +331,27 @@
     run(scene())
 
 
+def test_news_come_at_once_while_the_store_fails_those_that_follow_it(run):
+    """Hosts that the store turns away are not the ones that the others rely on."""
+
+    async def scene():
+        async with Edge(hosts=4) as edge:
+            edge.add_service('one')
+            edge.configure(one_route('one'))
+            await asyncio.sleep(2 * SETTLE)
+            live = edge.kernels['host-0'].find(FLEET).live_hosts()
+            for follower in choose_followers(live):
+                edge.stores[follower].is_cut = True
+            await asyncio.sleep(WATCH_WAIT + 2)
+            for _ in range(12):
+                version = edge.configure(one_route('one'))
+                await asyncio.sleep(1)
+                for kernel in edge.kernels.values():
+                    assert kernel.find(SHARED_STATE).desired.version == version
+
+    run(scene())
+
+
 def test_host_cut_from_the_store_lives_on_its_peers(run):
     """News reach a host that the store does not serve, within a pulse."""
 
