--- a/src/rattanspoke/standins/_servers.py
+++ b/src/rattanspoke/standins/_servers.py
@@ -7,6 +7,7 @@
 
 from ..contracts import SearchResult, SubResult
 from ..model import (
+    MILLISECONDS,
     Fingerprint,
     IndexVersion,
     OrganisationId,
@@ -23,7 +24,6 @@
 from ._serving import HttpServer, abort, reply
 from ._upstream import StandinUpstream
 
-MILLISECONDS = 1000  # in a second
 REFUSAL_WORDS = {reason: word for word, reason in REFUSALS.items()}
 
 
--- a/src/rattanspoke/standins/_store_server.py
+++ b/src/rattanspoke/standins/_store_server.py
@@ -7,6 +7,7 @@
 
 from ..contracts import ObjectList
 from ..model import (
+    MILLISECONDS,
     NO_REVISION,
     PlatformConflict,
     PlatformHistoryGone,
@@ -20,7 +21,6 @@
 from ._platform import StandinPlatform
 from ._serving import HttpServer, abort, reply
 
-MILLISECONDS = 1000  # in a second
 LIST_PATH = f'{OBJECTS_PATH}{{kind}}'
 OBJECT_PATH = f'{LIST_PATH}/{{name}}'
 
