Refuse work of a short time budget without counting it as overload

Cause: an owner refused every piece of work that could not be finished in its time as overloaded, also when only the search's time budget was shorter than one call of the upstream. Change: the decision has its own module, and a wait of up to two calls is a deadline that is too short, not overload. Before: the calls raise AssertionError (searches refused as overloaded).

--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -46,6 +46,7 @@
     UpstreamLoad,
     choose_hedge_quantile,
 )
+from ._load_shedding import MAX_WAIT_SHARE, OVERLOAD_CALLS, choose_shed_reason
 from ._membership import (
     DEAD_AFTER,
     HEARTBEAT_LINKS_PER_ZONE,
@@ -193,6 +194,7 @@
     'MAX_QUANTILE_SHIFT',
     'MAX_SLOTS',
     'MAX_SUSPECTS',
+    'MAX_WAIT_SHARE',
     'MICROSECONDS_PER_SECOND',
     'MIN_BASELINE_CALLS',
     'MIN_EXPECTED_LATENCY',
@@ -200,6 +202,7 @@
     'MIN_REQUESTS',
     'MIN_SAMPLES',
     'MISSED_HEARTBEATS',
+    'OVERLOAD_CALLS',
     'OWNERS_PER_UPSTREAM',
     'PART_TIMEOUT_FRACTION',
     'QUANTILE_STEPS',
@@ -264,6 +267,7 @@
     'choose_replica',
     'choose_retention',
     'choose_retry_after',
+    'choose_shed_reason',
     'choose_silence_limit',
     'choose_stale_age',
     'choose_version',
--- a/src/rattanspoke/services/_dispatcher.py
+++ b/src/rattanspoke/services/_dispatcher.py
@@ -14,7 +14,7 @@
     UpstreamConnection,
     UpstreamStatus,
 )
-from ..decisions import FairQueue, QueueItem
+from ..decisions import FairQueue, QueueItem, choose_shed_reason
 from ..kernel import Kernel
 from ..model import (
     BookingCommand,
@@ -32,7 +32,6 @@
 from ._work import Work
 
 MAX_QUEUE = 2000  # pieces of work that an owner queues for one upstream
-MAX_WAIT_SHARE = 0.5  # fraction of its remaining time that work may be queued
 DRAINING_PROBE_INTERVAL = Seconds(1)  # between probes of a draining upstream
 
 
@@ -93,8 +92,8 @@
         refusal = self.health.find_refusal()
         if refusal is None and self.health.count_usable_seats() == 0:
             refusal = Reason.UPSTREAM_COLD
-        if refusal is None and self._should_shed(queue_item):
-            refusal = Reason.OVERLOADED
+        if refusal is None:
+            refusal = self._find_shed_reason(queue_item)
         if refusal is not None:
             queue_item.work.refuse(refusal, wait=self.measure_wait())
             return
@@ -320,12 +319,13 @@
             self._counters.add(Metric.CANCELS)
             self._tasks.spawn(connection.cancel())
 
-    def _should_shed(self, queue_item: QueueItem[Work]) -> bool:
+    def _find_shed_reason(self, queue_item: QueueItem[Work]) -> Reason | None:
+        if len(self._queue) >= MAX_QUEUE:
+            return Reason.OVERLOADED
         ahead = self._queue.count_ahead(queue_item.organisation, queue_item.priority)
         wait = self.health.estimate_wait(ahead, len(self._running))
-        left = queue_item.deadline - read_clock()
-        is_late = wait + self.health.duration > left or wait > MAX_WAIT_SHARE * left
-        return is_late or len(self._queue) >= MAX_QUEUE
+        time_left = Seconds(queue_item.deadline - read_clock())
+        return choose_shed_reason(wait, self.health.duration, time_left)
 
     def _wake_idle(self) -> None:
         for seat, wake in self._wake_events.items():
--- a/src/rattanspoke/services/_fanout.py
+++ b/src/rattanspoke/services/_fanout.py
@@ -47,6 +47,8 @@
         Reason.HOST_LEAVING,
     )
 )
+# Refusals of an owner whose queue is too long for the work, which a hedge accepts.
+SHED_REASONS = frozenset((Reason.OVERLOADED, Reason.DEADLINE))
 # Seconds until shards that had no usable replica are tried again.
 DEFERRED_RETRY_DELAY = Seconds(0.02)
 DEFERRAL_SHARE = 0.6  # of a search's time, after which shards are no longer deferred
@@ -283,7 +285,8 @@
         )
         if not shards:
             return
-        if reply.reason is Reason.OVERLOADED and sub_request.is_hedge:
+        is_shed = reply.outcome is Outcome.NOT_RUN and reply.reason in SHED_REASONS
+        if is_shed and sub_request.is_hedge:
             return
         if not self._allowance.withdraw_retry(sub_request.upstream):
             self._counters.add(Metric.RETRIES_DENIED)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -14,11 +14,13 @@
     SlowStart,
     Throttle,
     TokenBucket,
+    choose_shed_reason,
 )
 from rattanspoke.model import (
     Fingerprint,
     Incarnation,
     OrganisationId,
+    Reason,
     Seconds,
     ServiceId,
     UpstreamId,
@@ -211,3 +213,19 @@
         throttle.note_ended(Seconds(1), accepted=False)
     assert not throttle.admits(0.5, Seconds(1))
     assert throttle.admits(0.5, Seconds(60))
+
+
+@pytest.mark.parametrize(
+    ('wait', 'time_left', 'reason'),
+    [
+        (0.01, 0.5, None),
+        (0.3, 0.5, Reason.OVERLOADED),
+        (0.004, 0.006, Reason.DEADLINE),
+        (0, 0.003, Reason.DEADLINE),
+    ],
+)
+def test_refusal_of_a_short_time_budget_is_no_overload(wait, time_left, reason):
+    """Only a queue of several calls counts as overload of the upstream."""
+    assert choose_shed_reason(Seconds(wait), Seconds(0.004), Seconds(time_left)) is (
+        reason
+    )
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -155,6 +155,41 @@
             asyncio.set_event_loop(None)
 
 
+# Calls of `Snapshots.search` without a fault between them: time budget in seconds,
+# limit, number of searches, organisation and query.
+SHORT_SEARCHES = (
+    (0.05, 10, 6, HALVORSEN, 'nothing-like-it'),
+    (0.01, 7, 1, WERKBANK, 'deli polish'),
+    (0.5, 24, 5, WERKBANK, 'ring'),
+    (0.01, 19, 1, HALVORSEN, 'nothing-like-it'),
+    (0.05, 29, 6, WERKBANK, 'deli polish'),
+    (0.05, 2, 6, WERKBANK, 'ring'),
+    (0.01, 14, 1, HALVORSEN, 'glass'),
+    (0.01, 8, 6, HALVORSEN, 'glass'),
+    (0.05, 7, 4, WERKBANK, 'nothing-like-it'),
+    (0.5, 15, 2, HALVORSEN, 'deli polish'),
+    (0.05, 11, 5, WERKBANK, 'nothing-like-it'),
+    (0.5, 24, 3, HALVORSEN, 'nothing-like-it'),
+    (0.01, 4, 1, WERKBANK, 'nothing-like-it'),
+    (0.01, 19, 5, WERKBANK, 'ring'),
+    (0.05, 9, 2, WERKBANK, 'nothing-like-it'),
+    (0.01, 11, 6, HALVORSEN, 'glass'),
+    (0.5, 22, 1, HALVORSEN, 'ring'),
+    (0.01, 2, 4, HALVORSEN, 'glass'),
+    (0.01, 9, 4, HALVORSEN, 'deli polish'),
+    (0.01, 18, 5, HALVORSEN, 'glass'),
+)
+
+
+def test_short_time_budgets_are_no_overload():
+    """Searches with time budgets of 10 to 50 ms do not throttle those that follow."""
+    state = Snapshots()
+    state.begin()
+    for budget, limit, many, organisation, query in SHORT_SEARCHES:
+        state.search(query, organisation, limit, budget, many)
+    state.teardown()
+
+
 TestSnapshots = Snapshots.TestCase
 TestSnapshots.settings = settings(
     max_examples=12,
