Count crashes of one moment once against a suspect

Cause: a search is in flight at many upstreams at once, and a request was blocked after two crashes that it was in flight in. One query of death, or one loss of power, therefore blocked the popular searches beside it on all hosts for 60 s. A trace showed two more: owners of one upstream blame different requests for one crash, and a reply just before the crash cleared the query of death. Reports that arrive twice are dropped, and hosts that know only some others pass them on. Ruled out: blame for the sole request alone (its owner may not see that another owner's call ran at the same upstream).

--- a/src/rattanspoke/services/_suspects.py
+++ b/src/rattanspoke/services/_suspects.py
@@ -1,5 +1,6 @@
 """Queries of death: requests suspected of crashing upstreams, shared by all hosts."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import Self
@@ -18,14 +19,29 @@
 )
 from ._tasks import ignore_reply, read_clock
 
+MAX_SEEN_REPORTS = 256  # reports that are recognised when they arrive again
+
 
 class HostSuspects:
-    """Share crash reports with every live host; flag suspect and blocked requests."""
+    """Share crash reports with every live host; flag suspect and blocked requests.
+
+    Args:
+        kernel: the kernel of this host.
+        list_hosts: returns the hosts to send reports to.
+        is_forwarding: whether those hosts are only some, so that each host sends the
+            reports that are new to it on.
+    """
 
     def __init__(
-        self, kernel: Kernel, list_hosts: Callable[[], Iterable[HostId]]
+        self,
+        kernel: Kernel,
+        list_hosts: Callable[[], Iterable[HostId]],
+        *,
+        is_forwarding: bool = False,
     ) -> None:
         self._list_hosts = list_hosts
+        self._is_forwarding = is_forwarding
+        self._seen: deque[CrashReport] = deque(maxlen=MAX_SEEN_REPORTS)
         self._identity = kernel.find(IDENTITY)
         self._counters = kernel.find(COUNTERS)
         self._timeline = kernel.find(TIMELINE)
@@ -39,26 +55,22 @@
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether the request must run alone and without hedges."""
-        return self._suspicion.is_suspect(fingerprint)
+        return self._suspicion.is_suspect(fingerprint, _now())
 
     def is_blocked(self, fingerprint: Fingerprint) -> bool:
         """Return whether the request must be rejected."""
-        return self._suspicion.is_blocked(fingerprint, Seconds(read_clock()))
+        return self._suspicion.is_blocked(fingerprint, _now())
 
     def note_success(self, fingerprint: Fingerprint) -> None:
         """Clear a suspect that ran without a crash, unless it was blocked."""
-        self._suspicion.note_success(fingerprint)
+        self._suspicion.note_success(fingerprint, _now())
 
     def report_crash(self, report: CrashReport) -> None:
         """Count a crash on this host and report it to every live host."""
         self._counters.add(Metric.CRASHES)
-        blamed = self._suspicion.note_crash(
-            report.crash, report.suspects, Seconds(read_clock())
-        )
+        blamed = self._suspicion.note_crash(report.crash, report.suspects, _now())
         self._timeline.note(EventKind.SUSPICION, f'{len(blamed)} after {report.crash}')
-        for host in self._list_hosts():
-            if host != self._identity.host:
-                self._peers.post(host, CrashReport(report.crash, blamed), ignore_reply)
+        self._send(CrashReport(report.crash, blamed), self._identity.host)
 
     async def __aenter__(self) -> Self:
         self._peers.serve(CrashReport, self._answer_report)
@@ -73,5 +85,18 @@
         """Do nothing; the kernel enters only services that have this method."""
 
     async def _answer_report(self, report: CrashReport, sender: HostId) -> Message:
-        self._suspicion.note_crash(report.crash, report.suspects, Seconds(read_clock()))
+        if report not in self._seen:
+            self._suspicion.note_crash(report.crash, report.suspects, _now())
+            if self._is_forwarding:
+                self._send(report, sender)
         return Acknowledgement(self._identity.incarnation)
+
+    def _send(self, report: CrashReport, source: HostId) -> None:
+        self._seen.append(report)
+        for host in self._list_hosts():
+            if host not in {source, self._identity.host}:
+                self._peers.post(host, report, ignore_reply)
+
+
+def _now() -> Seconds:
+    return Seconds(read_clock())
