Exchange heartbeats with the relays of a zone instead of all its hosts

Cause: each host exchanged heartbeats with all hosts of its zone and two of each other zone, and every one of them pushed each change of the state to all its links. Change: two hosts of each zone are its relays. Hosts exchange heartbeats with them, and relays with each other; each host names the two sources whose updates it wants. A host that starts waits until its state is known to be current, so that it does not use upstreams that left. Streams between hosts that are idle for 15 s are closed.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -42,6 +42,7 @@
     HostFleet,
     HostLifecycle,
     HostReadiness,
+    HostRegistry,
     HostReplicaSelection,
     HostRequestHandler,
     HostRules,
@@ -54,6 +55,7 @@
     UpstreamDirectory,
 )
 
+HOST_REGISTRY: ServiceKey[HostRegistry] = ServiceKey('host registry')
 STORE_WATCHER: ServiceKey[StoreWatcher] = ServiceKey('store watcher')
 
 
@@ -99,8 +101,8 @@
     """
     kernel = Kernel()
 
-    def live_hosts() -> Iterable[HostId]:
-        return kernel.find(FLEET).live_hosts()
+    def neighbours() -> Iterable[HostId]:
+        return kernel.find(FLEET).neighbours()
 
     _provide_adapters(kernel, identity, adapters)
     kernel.provide(RULES, HostRules(kernel, rules))
@@ -108,9 +110,10 @@
     kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
     kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
-    kernel.provide(FLEET, HostFleet(kernel, entry))
+    kernel.provide(FLEET, HostFleet(kernel))
+    kernel.provide(HOST_REGISTRY, HostRegistry(kernel, entry))
     kernel.provide(STATE_REPLICATION, HostStateReplication(kernel))
-    kernel.provide(SUSPECTS, HostSuspects(kernel, live_hosts))
+    kernel.provide(SUSPECTS, HostSuspects(kernel, neighbours, is_forwarding=True))
     kernel.provide(CRASH_GUARD, HostCrashGuard(kernel))
     kernel.provide(SLOW_START_ADMISSION, HostSlowStartAdmission(kernel))
     kernel.provide(CONNECTION_POOLS, HostConnectionPools(kernel))
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -162,6 +162,7 @@
         slow_start=SlowStartRule(settings.cold_factor, settings.cold_slack),
         drain_time=settings.drain_time,
         seeds=settings.seeds,
+        is_first_start=settings.is_first_start,
     )
 
 
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -1,6 +1,6 @@
 """Protocols of the services of a host on the users' platform."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Protocol, Self
@@ -38,8 +38,13 @@
     had no effect.
     """
 
-    async def list_kind(self, kind: str) -> ObjectList:
-        """Return all objects of a kind and the revision of this snapshot."""
+    async def list_kind(self, kind: str, *, may_be_stale: bool = False) -> ObjectList:
+        """Return all objects of a kind and the revision of this snapshot.
+
+        Args:
+            may_be_stale: whether the snapshot may be some seconds old, which is cheaper
+                for the store.
+        """
 
     async def watch_kind(self, kind: str, after: Revision, wait: Seconds) -> ObjectList:
         """Return the changes of a kind after a revision, by a long poll.
@@ -152,9 +157,20 @@
         """The newest desired state, None until one was received."""
 
     @property
-    def is_complete(self) -> bool:
+    def is_read(self) -> bool:
         """Whether every kind was read at least once and a desired state exists."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the state was read and has been current since the start.
+
+        A host that has just started may get the state from a peer that is behind. It
+        would use upstreams again that have left since.
+        """
+
+    def note_current(self) -> None:
+        """Record that the state that was read is that of the store, not an old copy."""
+
     async def await_complete(self, limit: Seconds) -> None:
         """Wait until the state is complete, at most for the seconds given as limit."""
 
@@ -206,18 +222,31 @@
     def is_isolated(self) -> bool:
         """Whether other zones have known hosts, but none of those is live."""
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this host is to watch the store for the others."""
+
     def live_hosts(self) -> dict[HostId, ZoneId]:
-        """Return the live hosts that are not shutting down, including this one."""
+        """Return the live hosts that this host hears and that are not shutting down.
 
-    def hosts_reaching_store(self) -> dict[HostId, ZoneId]:
-        """Return the live hosts whose last calls to the store succeeded."""
+        They include this host. A host that is no relay hears only relays of its zone.
+        """
+
+    def known_hosts(self) -> Mapping[HostId, ZoneId]:
+        """Return the known hosts with their zones, including this one."""
 
-    def known_hosts(self) -> tuple[HostId, ...]:
-        """Return the known hosts, including this one."""
+    def add_hosts(self, hosts: Mapping[HostId, ZoneId]) -> None:
+        """Add hosts that were found in the store or listed by another host."""
 
-    def links(self) -> tuple[HostId, ...]:
+    async def ask_for_hosts(self) -> bool:
+        """Learn of all hosts from a seed; return whether one answered."""
+
+    def neighbours(self) -> tuple[HostId, ...]:
         """Return the hosts that this host exchanges heartbeats with."""
 
+    def followers(self) -> tuple[HostId, ...]:
+        """Return the live hosts that want the state updates of this host."""
+
     def heartbeat_interval(self) -> Seconds:
         """Return the seconds between heartbeats to one host."""
 
@@ -306,12 +335,15 @@
         drain_time: seconds for which draining upstreams may receive requests.
         seeds: hosts from which this host learns of the others while the store does
             not answer.
+        is_first_start: whether the whole system starts for the first time, so that no
+            caller waits yet.
     """
 
     retry_budget: RetryBudgetRule
     slow_start: SlowStartRule
     drain_time: Seconds
     seeds: tuple[HostId, ...] = ()
+    is_first_start: bool = False
 
 
 class Rules(Protocol):
--- a/src/rattanspoke/decisions/_load_shedding.py
+++ b/src/rattanspoke/decisions/_load_shedding.py
@@ -9,8 +9,8 @@
 from ..model import Reason, Seconds
 
 MAX_WAIT_SHARE = 0.5  # fraction of its remaining time that work may be queued
-# A wait of no more than this many calls of the upstream is no overload, however short the
-# time budget of the work is.
+# A wait of no more than this many calls of the upstream is no overload, however short
+# the time budget of the work is.
 OVERLOAD_CALLS = 2
 
 
--- a/src/rattanspoke/decisions/_topology.py
+++ b/src/rattanspoke/decisions/_topology.py
@@ -1,43 +1,51 @@
 """Choose which hosts exchange heartbeats, and which of them watch the store.
 
-A host exchanges heartbeats with every host of its own zone and with a few of every
-other zone, so their number grows with the zone and not with the whole fleet.
+A few hosts of each zone are its relays. Every host exchanges heartbeats with the relays
+of its own zone, and the relays of all zones with each other. The traffic of a host
+that is no relay is therefore the same in a fleet of any size, and what crosses zones
+grows with their number only.
 
 Long polls on the platform's store are expensive and their number is bounded. Therefore
-two hosts watch the store and replicate its state to the others. Hosts whose calls to
-the store fail are not chosen. Any host that receives no state updates for too long
-queries the store itself, without being chosen.
+two relays watch the store, and its changes go from them to the relays of all zones and
+from these to the hosts. Hosts whose calls to the store fail are not chosen. Any host
+that receives no state updates for too long queries the store itself.
 """
 
-from collections import defaultdict
 from collections.abc import Mapping
 
 from ..model import HostId, Seconds, ZoneId
 from ._rendezvous import rank_hosts
 
-LINKS_PER_ZONE = 2  # hosts of each other zone that a host exchanges heartbeats with
+# Two, so that neither the death of one nor a cut link delays updates.
+RELAYS_PER_ZONE = 2
 STORE_WATCHERS = 2  # hosts of the fleet that watch the store while its calls succeed
 # Seconds for which a long poll stays open while nothing changes. A broken connection
 # may go unnoticed during that time; only the end of the poll proves that it works.
 WATCH_WAIT = Seconds(1.2)
 MIN_INTERVAL = Seconds(0.4)  # between heartbeats to one host
-# Heartbeats that a host sends at most, because control traffic is bounded.
+# Heartbeats that a host sends or answers at most, because control traffic is bounded.
 MAX_HEARTBEATS_PER_SECOND = 30
-# Heartbeats in sequence from a watcher to any host: one to the links of the watcher,
-# and one from there.
+# Heartbeats in sequence from a watcher to any host: one to a relay of its zone, and one
+# from there.
 WATCHER_HOPS = 2
 DELIVERY_SLACK = Seconds(0.2)  # for calls and heartbeats in transit
 
+Relays = Mapping[ZoneId, tuple[HostId, ...]]
 
-def choose_heartbeat_interval(links: int) -> Seconds:
+
+def choose_heartbeat_interval(links: int, zone_hosts: int) -> Seconds:
     """Return the seconds between heartbeats to one host.
 
-    They grow with the links, which limits the rate at which this host sends.
+    They grow with the links and with the zone, whose hosts all exchange heartbeats with
+    its relays. This limits the rate of every host.
 
     Args:
-        links: the number of hosts that this host exchanges heartbeats with.
+        links: the number of hosts that this host sends heartbeats to.
+        zone_hosts: the number of hosts in the zone of this host.
     """
-    return Seconds(max(MIN_INTERVAL, links / MAX_HEARTBEATS_PER_SECOND))
+    return Seconds(
+        max(MIN_INTERVAL, max(links, zone_hosts) / MAX_HEARTBEATS_PER_SECOND)
+    )
 
 
 def choose_stale_age(interval: Seconds) -> Seconds:
@@ -65,36 +73,68 @@
 
 def rank_by_zone(hosts: Mapping[HostId, ZoneId]) -> dict[ZoneId, list[HostId]]:
     """Return the hosts of each zone in an order that all hosts compute alike."""
-    by_zone: dict[ZoneId, list[HostId]] = defaultdict(list)
+    by_zone: dict[ZoneId, list[HostId]] = {}
     for host, zone in hosts.items():
-        by_zone[zone].append(host)
+        by_zone.setdefault(zone, []).append(host)
     return {zone: rank_hosts(f'links {zone}', each) for zone, each in by_zone.items()}
 
 
-def choose_links(own: ZoneId, hosts: Mapping[HostId, ZoneId]) -> tuple[HostId, ...]:
-    """Return the hosts that this host exchanges heartbeats with.
+def choose_relays(hosts: Mapping[HostId, ZoneId]) -> dict[ZoneId, tuple[HostId, ...]]:
+    """Return the relays of each zone, in the order of their rank.
+
+    Args:
+        hosts: the hosts that may be relays, with their zones.
+    """
+    return {
+        zone: tuple(ranked[:RELAYS_PER_ZONE])
+        for zone, ranked in rank_by_zone(hosts).items()
+    }
+
+
+def choose_links(own: HostId, zone: ZoneId, relays: Relays) -> tuple[HostId, ...]:
+    """Return the hosts that a host sends heartbeats to.
 
     Args:
-        own: the zone of this host.
-        hosts: all other hosts, with their zones.
+        own: the host.
+        zone: its zone.
+        relays: the relays of each zone.
     """
-    chosen: list[HostId] = []
-    for zone, ranked in rank_by_zone(hosts).items():
-        chosen += ranked if zone == own else ranked[:LINKS_PER_ZONE]
-    return tuple(chosen)
+    linked = relays.get(zone, ())
+    if own in linked:
+        linked = tuple(host for each in relays.values() for host in each)
+    return tuple(host for host in linked if host != own)
 
 
 def choose_watchers(hosts: Mapping[HostId, ZoneId]) -> tuple[HostId, ...]:
     """Return the hosts that watch the store.
 
-    They are the first in the order of their zones. All hosts exchange heartbeats with
-    those, so that the state updates of the watchers reach all hosts directly. Where
-    there are several zones, the watchers are in different ones.
+    They are the first relays of their zones. Where there are several zones, the
+    watchers are in different ones.
 
     Args:
         hosts: the live hosts whose calls to the store succeed, with their zones.
     """
-    first = [ranked[0] for ranked in rank_by_zone(hosts).values()]
-    second = [ranked[1] for ranked in rank_by_zone(hosts).values() if len(ranked) > 1]
+    ranked_by_zone = rank_by_zone(hosts).values()
+    first = [ranked[0] for ranked in ranked_by_zone]
+    second = [ranked[1] for ranked in ranked_by_zone if len(ranked) > 1]
     ranked = rank_hosts('followers', first) + rank_hosts('followers', second)
     return tuple(ranked[:STORE_WATCHERS])
+
+
+def choose_sources(
+    own: HostId, zone: ZoneId, relays: Relays, watchers: tuple[HostId, ...]
+) -> tuple[HostId, ...]:
+    """Return the hosts that send their state updates to a host without being asked.
+
+    The relays get them from the watchers, and all other hosts from the relays of their
+    zone. There are two of each, so that the loss of one delays no update.
+
+    Args:
+        own: the host.
+        zone: its zone.
+        relays: the relays of each zone.
+        watchers: the hosts that watch the store.
+    """
+    own_relays = relays.get(zone, ())
+    sources = watchers if own in own_relays else own_relays
+    return tuple(host for host in sources if host != own)
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -8,6 +8,8 @@
 )
 from ._edge_messages import (
     EdgeHeartbeat,
+    FleetRoster,
+    RosterPull,
     StatePull,
     StateUpdate,
 )
@@ -110,6 +112,7 @@
     ZoneRecord,
 )
 from ._registrations import (
+    HOST_KIND,
     Evacuation,
     HostEntry,
     Registration,
@@ -148,6 +151,7 @@
 
 __all__ = (
     'CONNECT_FAILURES',
+    'HOST_KIND',
     'MS_PER_SECOND',
     'NO_REVISION',
     'Acknowledgement',
@@ -180,6 +184,7 @@
     'ExtraSend',
     'Failed',
     'Fingerprint',
+    'FleetRoster',
     'Headers',
     'Heartbeat',
     'Hit',
@@ -228,6 +233,7 @@
     'RequestError',
     'RequestId',
     'Revision',
+    'RosterPull',
     'Route',
     'RouteId',
     'Seal',
--- a/src/rattanspoke/model/_registrations.py
+++ b/src/rattanspoke/model/_registrations.py
@@ -7,6 +7,8 @@
 from ._ids import HostId, Incarnation, Seconds, ServiceId, UpstreamId, ZoneId
 from ._routing import DesiredState
 
+HOST_KIND = 'hosts'  # of the entries of hosts in the store
+
 
 @unique
 class StateKind(Enum):
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's object store over HTTP."""
 
+from collections.abc import Mapping
 from types import TracebackType
 from typing import Any, Self, TypeVar
 from urllib.parse import quote, urlencode
@@ -30,6 +31,7 @@
 
 CALL_TIMEOUT = Seconds(1)  # for a call, in addition to the wait of a long poll
 NO_WAIT = Seconds(0)
+STALE_ALLOWED = 'staleAllowed'  # query of a read whose result may be seconds old
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
@@ -92,14 +94,20 @@
         self._counters = counters
         self._idle: list[HttpClientConnection] = []
 
-    async def list_kind(self, kind: str) -> ObjectList:
+    async def list_kind(self, kind: str, *, may_be_stale: bool = False) -> ObjectList:
         """Return every object of a kind.
 
+        Args:
+            kind: the kind of the objects.
+            may_be_stale: whether the objects may be some seconds old; such a call costs
+                a tenth of the price and counts towards no rate.
+
         Raises:
             PlatformUnavailable: when the store did not return a listing.
         """
         found: list[StoredObject] = []
-        path = _make_path(kind)
+        query: dict[str, object] = {STALE_ALLOWED: 1} if may_be_stale else {}
+        path = _make_path(kind, query=query)
         as_of: Revision | None = None
         while True:
             page = _decode(await self._read('list', path), _PageForm)
@@ -109,7 +117,8 @@
             as_of = Revision(page.as_of) if as_of is None else as_of
             if not page.more or not page.items:
                 return _filter(kind, ObjectList(as_of, tuple(found)))
-            path = _make_path(kind, after=page.items[-1].meta.name)
+            query['after'] = page.items[-1].meta.name
+            path = _make_path(kind, query=query)
 
     async def watch_kind(self, kind: str, after: Revision, wait: Seconds) -> ObjectList:
         """Return the changes of a kind after a revision, by a long poll.
@@ -124,7 +133,8 @@
                 revision.
             PlatformUnavailable: when the store did not return the changes.
         """
-        path = _make_path(kind, watch=after, waitMs=round(wait * MS_PER_SECOND))
+        query = {'watch': after, 'waitMs': round(wait * MS_PER_SECOND)}
+        path = _make_path(kind, query=query)
         page = _decode(await self._read('watch', path, wait), _EventsForm)
         changes = [
             _read_object(kind, event.object, is_deleted=event.deleted)
@@ -170,7 +180,7 @@
 
     async def delete(self, kind: str, name: str, expected: Revision) -> None:
         """Delete an object by compare-and-set; raises the same errors as `write`."""
-        await self._change('DELETE', _make_path(kind, name, revision=expected))
+        await self._change('DELETE', _make_path(kind, name, {'revision': expected}))
 
     async def __aenter__(self) -> Self:
         return self
@@ -264,7 +274,9 @@
         return None
 
 
-def _make_path(kind: str, name: str = '', **query: object) -> str:
+def _make_path(
+    kind: str, name: str = '', query: Mapping[str, object] | None = None
+) -> str:
     """Return the path of a kind or of one of its objects, with a query."""
     path = OBJECTS_PATH + quote(KIND_NAMES.get(kind, kind), safe='')
     if name:
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -7,6 +7,7 @@
 from ._crash_guard import HostCrashGuard
 from ._directory import UpstreamDirectory
 from ._fleet import HostFleet
+from ._host_registry import HostRegistry
 from ._lifecycle import HostLifecycle
 from ._loads import HostUpstreamLoads
 from ._members import HostMembers
@@ -43,6 +44,7 @@
     'HostOwnedUpstreams',
     'HostReadiness',
     'HostRecordStatuses',
+    'HostRegistry',
     'HostReplicaSelection',
     'HostRequestHandler',
     'HostRules',
--- a/src/rattanspoke/services/_link.py
+++ b/src/rattanspoke/services/_link.py
@@ -17,6 +17,9 @@
 from ._tasks import read_clock
 
 MAX_PARCELS = 256  # in one bundle
+# Time without a message after which a stream is closed. Hosts that exchange heartbeats
+# send far more often.
+IDLE_TIMEOUT = Seconds(15)
 REOPEN_DELAY = Seconds(0.1)  # after a failed attempt to open a stream
 
 Pack = Callable[[list[Parcel]], Bundle]
@@ -85,14 +88,20 @@
         await channel.close()
 
     async def _write(self, channel: PeerChannel) -> None:
+        """Send what is posted; return when nothing was for IDLE_TIMEOUT."""
         while not self._broken:
             if self._outbox:
                 parcels = self._outbox[:MAX_PARCELS]
                 self._outbox = self._outbox[MAX_PARCELS:]
                 await channel.send(self._pack(parcels))
-            else:
-                self._wake.clear()
-                await self._wake.wait()
+                continue
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(IDLE_TIMEOUT):
+                    await self._wake.wait()
+            except TimeoutError:
+                if not self._pending_calls:
+                    return
         raise PeerError(Reason.PEER_LOST, Outcome.UNKNOWN)
 
     async def _read(self, channel: PeerChannel) -> None:
--- a/src/rattanspoke/services/_state.py
+++ b/src/rattanspoke/services/_state.py
@@ -46,6 +46,7 @@
         self._log = structlog.get_logger()
         self._kinds = {kind: _KindState() for kind in StateKind}
         self._desired: DesiredState | None = None
+        self._is_current = False
         self._completed = asyncio.Event()
 
     @property
@@ -54,11 +55,21 @@
         return self._desired
 
     @property
-    def is_complete(self) -> bool:
+    def is_read(self) -> bool:
         """Whether every kind was read at least once and a desired state exists."""
         are_read = all(each.revision > NO_REVISION for each in self._kinds.values())
         return are_read and self._desired is not None
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the state was read and has been current since the start."""
+        return self._is_current and self.is_read
+
+    def note_current(self) -> None:
+        """Record that the state that was read is that of the store, not an old copy."""
+        self._is_current = True
+        self._note_complete()
+
     async def await_complete(self, limit: Seconds) -> None:
         """Wait until the state is complete, at most for the seconds given as limit."""
         try:
--- a/src/rattanspoke/services/_state_replication.py
+++ b/src/rattanspoke/services/_state_replication.py
@@ -1,10 +1,12 @@
 """Replication of the shared state between hosts.
 
-A watcher pushes each change that it reads from the store to the hosts it exchanges
-heartbeats with, and they push it on. A host that missed a change detects from
-the revisions in a heartbeat that the sender is ahead, and pulls the changes from it.
+A watcher pushes each change that it reads from the store to the hosts that follow it,
+and those that did not have it yet push it on to their own followers. A host that missed
+a change detects from the revisions in a heartbeat that the sender is ahead, and pulls
+the changes from it.
 """
 
+import asyncio
 from typing import Self
 
 import structlog
@@ -17,7 +19,7 @@
     SHARED_STATE,
     ObjectList,
 )
-from ..decisions import choose_stale_age, choose_watchers
+from ..decisions import choose_stale_age
 from ..kernel import Kernel
 from ..model import (
     NO_REVISION,
@@ -35,6 +37,10 @@
 from ._tasks import TaskOwner, ignore_reply, read_clock
 
 PULL_TIMEOUT = Seconds(1)
+# Time after which a host that has started uses a state that may be behind: neither the
+# store nor a peer that hears from it answers.
+CURRENT_STATE_WAIT = Seconds(1.5)
+CURRENT_STATE_CHECK = Seconds(0.1)
 LONG_AGO = Seconds(1e6)  # age that stands for a reply that was never received
 
 
@@ -55,6 +61,7 @@
         # no tombstones, so a host that pulls from an earlier revision gets a snapshot.
         self._history_starts: dict[StateKind, Revision] = {}
         self._pulling: set[StateKind] = set()
+        self._announced: dict[StateKind, Revision] = {}  # newest in any heartbeat
         self._failing_kinds: set[StateKind] = set()
         kernel.bus.subscribe(HEARTBEAT_RECEIVED, self._note_heartbeat)
 
@@ -80,12 +87,9 @@
 
     def can_rely_on_peers(self) -> bool:
         """Whether other hosts watch the store and their state updates arrive here."""
-        stale_age = choose_stale_age(self._fleet.heartbeat_interval())
-        if not self._state.is_complete or self.measure_age() > stale_age:
+        if not self._state.is_complete or self._is_stale():
             return False
-        return self._identity.host not in choose_watchers(
-            self._fleet.hosts_reaching_store()
-        )
+        return not self._fleet.is_watcher
 
     def handle_listing(self, kind: StateKind, listing: ObjectList) -> None:
         """Apply a complete listing that this host read from the store.
@@ -99,6 +103,7 @@
             listing.revision if before == NO_REVISION else NO_REVISION,
         )
         self._state.adopt_list(kind, listing)
+        self._note_if_current()
         revision = self._state.revision(kind)
         self._log.info('listed', kind=kind.value, revision=revision)
 
@@ -108,6 +113,7 @@
         """Apply changes that this host read from the store and push them to peers."""
         self._note_reply(kind)
         self._state.adopt_changes(kind, after, changes)
+        self._note_if_current()
         if changes.objects:
             self._push(
                 StateUpdate(
@@ -121,14 +127,39 @@
     async def __aenter__(self) -> Self:
         self._peers.serve(StatePull, self._answer_pull)
         self._peers.serve(StateUpdate, self._handle_update)
+        self._tasks.spawn(self._await_current_state())
         return self
 
+    async def _await_current_state(self) -> None:
+        """Decide from when on the state of a host that has started may be used."""
+        read_at: float | None = None
+        while read_at is None or read_clock() - read_at < CURRENT_STATE_WAIT:
+            if self._state.is_complete:
+                return
+            await asyncio.sleep(CURRENT_STATE_CHECK)
+            if read_at is None and self._state.is_read:
+                read_at = read_clock()
+        self._log.warning('state may be behind', age=self.measure_age())
+        self._state.note_current()
+
+    def _note_if_current(self) -> None:
+        """Record that the state is current once nothing newer is announced."""
+        if not self._state.is_read or self._is_stale():
+            return
+        announced = self._announced.items()
+        if all(self._state.revision(kind) >= newest for kind, newest in announced):
+            self._state.note_current()
+
+    def _is_stale(self) -> bool:
+        stale_age = choose_stale_age(self._fleet.heartbeat_interval())
+        return self.measure_age() > stale_age
+
     def _note_reply(self, kind: StateKind) -> None:
         self._last_replies[kind] = read_clock()
         self._failing_kinds.discard(kind)
 
     def _push(self, update: StateUpdate, source: HostId | None = None) -> None:
-        for host in self._fleet.links():
+        for host in self._fleet.followers():
             if host != source:
                 self._peers.post(host, update, ignore_reply)
 
@@ -136,9 +167,12 @@
         last_reply = read_clock() - heartbeat.store_age
         self._last_peer_reply = max(self._last_peer_reply, last_reply)
         for kind, revision in heartbeat.revisions.items():
+            newest = max(revision, self._announced.get(kind, NO_REVISION))
+            self._announced[kind] = newest
             if revision > self._state.revision(kind) and kind not in self._pulling:
                 self._pulling.add(kind)
                 self._tasks.spawn(self._pull(kind, heartbeat.host))
+        self._note_if_current()
 
     async def _pull(self, kind: StateKind, host: HostId) -> None:
         pull = StatePull(kind, self._state.revision(kind))
@@ -178,10 +212,12 @@
         if update.is_whole:
             self._history_starts[update.kind] = update.until
             self._state.adopt_list(update.kind, changes)
+            self._note_if_current()
             return
         if before == NO_REVISION:
             # Changes alone would leave the state incomplete. The first snapshot is
             # listed from the store or pulled from a peer.
             return
         if self._state.adopt_changes(update.kind, update.after, changes):
+            self._note_if_current()
             self._push(update, source)
--- a/src/rattanspoke/services/_store_watcher.py
+++ b/src/rattanspoke/services/_store_watcher.py
@@ -6,7 +6,15 @@
 
 import structlog
 
-from ..contracts import COUNTERS, OBJECT_STORE, SHARED_STATE, STATE_REPLICATION, Metric
+from ..contracts import (
+    COUNTERS,
+    IDENTITY,
+    OBJECT_STORE,
+    RULES,
+    SHARED_STATE,
+    STATE_REPLICATION,
+    Metric,
+)
 from ..decisions import WATCH_WAIT
 from ..kernel import Kernel
 from ..model import (
@@ -28,6 +36,10 @@
 PROBE_INTERVAL = Seconds(2)
 # Upper limit of the backoff, so that a host detects within 1 s that the store is back.
 MAX_BACKOFF = Seconds(0.8)
+# Time for which a host that starts waits for the state from its peers: at the first
+# start of the whole system, when no caller waits yet, and at any other.
+FIRST_START_DELAY = Seconds(2)
+RESTART_DELAY = Seconds(0.03)
 
 
 class StoreWatcher(TaskOwner):
@@ -41,6 +53,8 @@
         super().__init__()
         self._store = kernel.find(OBJECT_STORE)
         self._state = kernel.find(SHARED_STATE)
+        self._host = kernel.find(IDENTITY).host
+        self._rules = kernel.find(RULES)
         self._replication = kernel.find(STATE_REPLICATION)
         self._counters = kernel.find(COUNTERS)
         self._random = random.Random(seed)
@@ -55,6 +69,7 @@
 
     async def _watch_kind(self, kind: StateKind) -> None:
         backoff = INITIAL_BACKOFF
+        await self._state.await_complete(self._choose_start_delay())
         while True:
             if self._replication.can_rely_on_peers() and not self._should_probe(kind):
                 await asyncio.sleep(PEER_CHECK_INTERVAL)
@@ -69,6 +84,17 @@
                 self._note_success(kind)
                 backoff = INITIAL_BACKOFF
 
+    def _choose_start_delay(self) -> Seconds:
+        """Return the seconds for which peers may provide the state before the store.
+
+        Listing the state takes several calls for each host. The seeds list it at once,
+        and the others get it from them.
+        """
+        rules = self._rules.current
+        if self._host in rules.seeds or not rules.seeds:
+            return Seconds(0)
+        return FIRST_START_DELAY if rules.is_first_start else RESTART_DELAY
+
     def _should_probe(self, kind: StateKind) -> bool:
         """Whether it is time to check if the store answers this host again."""
         failed_at = self._failed_at.get(kind)
--- a/src/rattanspoke/transports/__init__.py
+++ b/src/rattanspoke/transports/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._front import make_http_app
-from ._record_store import HOST_OBJECT_KIND, HttpRecordStore, RecordStore, locate_record
+from ._record_store import HttpRecordStore, RecordStore, locate_record
 from ._records import RecordCodec, dump_record, load_record
 from ._upstreams import (
     REFUSAL_REASONS,
@@ -16,7 +16,6 @@
 )
 
 __all__ = (
-    'HOST_OBJECT_KIND',
     'REFUSAL_REASONS',
     'BookCall',
     'HttpRecordStore',
--- a/src/rattanspoke/transports/_record_store.py
+++ b/src/rattanspoke/transports/_record_store.py
@@ -8,6 +8,7 @@
 
 from ..contracts import ObjectList, ObjectStore
 from ..model import (
+    HOST_KIND,
     HostId,
     ListedHost,
     PlatformHistoryGone,
@@ -21,7 +22,6 @@
 from ..platform import HttpStore, JsonStateCodec
 
 RECORD_OBJECT_KIND = 'rattanspoke-records'  # objects are named "record kind.name"
-HOST_OBJECT_KIND = 'hosts'
 _RECORD_KINDS = frozenset(kind.value for kind in RecordKind)
 
 
@@ -83,7 +83,7 @@
 
     async def list_hosts(self) -> tuple[ListedHost, ...]:
         """Return the hosts with a valid entry in the store; skip other entries."""
-        listing = await self._store.list_kind(HOST_OBJECT_KIND)
+        listing = await self._store.list_kind(HOST_KIND)
         found: list[ListedHost] = []
         for stored in listing.objects:
             try:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -43,6 +43,7 @@
         self.requests = []
         self.connections = 0
         self._server = None
+        self._writers = []
         self.address = ''
 
     async def __aenter__(self):
@@ -53,8 +54,12 @@
 
     async def __aexit__(self, *error):
         self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)  # until the transports have closed their sockets
 
     async def _serve(self, reader, writer):
+        self._writers.append(writer)
         self.connections += 1
         while True:
             try:
