Cut off peers that send bytes without end

Cause: a response was read into memory up to the request's deadline, whatever its size; an idle connection went on reading bytes that belong to no request; a caller could send a head without end, or a byte now and then, for as long as it liked. Change: responses of upstreams and of the store are bounded in head and body; bytes outside an exchange abort the connection; heads of callers are bounded in size and time and idle connections in time, by the limits of the desired state, which were decoded and not used. A success without the attempt's id is not taken where the upstream repeats ids. A request that meets a connection which was closed while idle gets another one instead of failing. A write whose reply does not decode, or has a status that proves nothing, may have taken effect. Callers' Accept-Encoding is replaced, since encoded replies are not accepted.

--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import TracebackType
@@ -14,19 +15,20 @@
 import uvloop
 
 from ._edge import EdgeAdapters, assemble_edge
-from ._listening import EmbeddedServer
+from ._listening import DEFAULT_LIMITS, EmbeddedServer, make_bounded_protocol
 from ._reload import SettingsReload
 from .contracts import (
     FLEET,
     LIFECYCLE,
     RULES,
+    SHARED_STATE,
     EdgeRules,
     Identity,
     RetryBudgetRule,
     SlowStartRule,
 )
 from .kernel import Kernel
-from .model import HostEntry, Incarnation, Seconds
+from .model import CallerLimits, HostEntry, Incarnation, Seconds
 from .observability import render_metrics
 from .peering import GrpcTransport
 from .platform import (
@@ -46,7 +48,6 @@
 # Part of the grace period between SIGTERM and SIGKILL that is left after the drain, to
 # stop services and close connections.
 SHUTDOWN_RESERVE = Seconds(0.7)
-KEEP_ALIVE_TIMEOUT = 60  # seconds for which an idle connection of a caller stays open
 MAX_SEED = 2**32
 
 
@@ -58,8 +59,12 @@
         self.kernel = _assemble(settings)
         callers = make_caller_app(self.kernel)
         probes = make_probe_app(self.kernel, render_metrics)
-        self._caller_server = _make_server(callers, settings.callers)
-        self._probe_server = _make_server(probes, settings.probes)
+        self._caller_server = _make_server(
+            callers, settings.callers, self._find_caller_limits
+        )
+        self._probe_server = _make_server(
+            probes, settings.probes, lambda: DEFAULT_LIMITS
+        )
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -101,6 +106,10 @@
         remaining = self._settings.grace - LOAD_BALANCER_DELAY - SHUTDOWN_RESERVE
         return await lifecycle.drain(Seconds(max(0, remaining)))
 
+    def _find_caller_limits(self) -> CallerLimits:
+        desired = self.kernel.find(SHARED_STATE).desired
+        return desired.limits if desired else DEFAULT_LIMITS
+
 
 async def _serve(path: Path, settings: HostSettings) -> bool:
     stop_requested = asyncio.Event()
@@ -166,13 +175,15 @@
     )
 
 
-def _make_server(application: Application, address: str) -> EmbeddedServer:
+def _make_server(
+    application: Application, address: str, find_limits: Callable[[], CallerLimits]
+) -> EmbeddedServer:
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
         application,
         host=host,
         port=int(port),
-        http='httptools',
+        http=make_bounded_protocol(find_limits),
         ws='none',
         interface='asgi3',
         log_config=None,
@@ -181,6 +192,5 @@
         server_header=False,
         date_header=False,
         proxy_headers=False,
-        timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
     )
     return EmbeddedServer(config)
--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -1,12 +1,105 @@
 """A uvicorn server that is started and stopped by the code that creates it."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from .model import CallerLimits, Seconds
+
+# What a client may send and how long it may take while no limits are configured.
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=64 * 1024,
+    body_bytes=1024 * 1024,
+    header_time=Seconds(10),
+    idle_time=Seconds(60),
+)
+TOO_LARGE = b'431 Request Header Fields Too Large'
+TOO_SLOW = b'408 Request Timeout'
+
+
+class BoundedHttpProtocol(HttpToolsProtocol):
+    """A client's connection that ends when a request head is too large or too slow.
+
+    Without this, a client that sends a head without end, or a byte now and then, would
+    hold memory and a descriptor for as long as it likes. A request that ends so has not
+    been passed on, and the status that the client gets says so.
+
+    Args:
+        find_limits: returns the limits in force.
+        options: the arguments of uvicorn's protocol.
+    """
+
+    def __init__(self, find_limits: Callable[[], CallerLimits], **options: Any) -> None:
+        super().__init__(**options)
+        self._find_limits = find_limits
+        self._head_bytes = 0
+        self._has_head = True  # of the newest request
+        self._deadline: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the time until the first request begins."""
+        super().connection_made(transport)  # type: ignore[arg-type]
+        idle_time = self._find_limits().idle_time
+        self.timeout_keep_alive = int(idle_time)
+        self._deadline = self.loop.call_later(idle_time, self.transport.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the deadline."""
+        self._cancel_deadline()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        """Begin to measure the head of a request."""
+        self._cancel_deadline()
+        self._has_head = False
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Stop measuring."""
+        self._has_head = True
+        super().on_headers_complete()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; end the connection if the head exceeds a limit."""
+        super().data_received(data)
+        if self._has_head:
+            self._cancel_deadline()
+            return
+        limits = self._find_limits()
+        self._head_bytes += len(data)
+        if self._head_bytes > limits.header_bytes:
+            self._reject(TOO_LARGE)
+        elif self._deadline is None:
+            self._deadline = self.loop.call_later(
+                limits.header_time, self._reject, TOO_SLOW
+            )
+
+    def _reject(self, status: bytes) -> None:
+        """Answer that the request was not run, unless an answer is still being sent."""
+        self._cancel_deadline()
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(
+                b'HTTP/1.1 %b\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+                % status
+            )
+        self.transport.close()
+
+    def _cancel_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+
+def make_bounded_protocol(find_limits: Callable[[], CallerLimits]) -> Any:
+    """Return the protocol of a server whose clients are bounded by the given limits."""
+    return partial(BoundedHttpProtocol, find_limits)
 
 
 class EmbeddedServer(uvicorn.Server):
--- a/src/rattanspoke/_process.py
+++ b/src/rattanspoke/_process.py
@@ -11,7 +11,7 @@
 import uvicorn
 
 from ._host import HostAdapters, assemble_host
-from ._listening import EmbeddedServer
+from ._listening import DEFAULT_LIMITS, EmbeddedServer, make_bounded_protocol
 from ._settings import Settings
 from .contracts import LIFECYCLE, MEMBERS, SEATS, Identity
 from .kernel import Kernel
@@ -27,7 +27,6 @@
 )
 
 MAX_SEED = 2**32
-KEEP_ALIVE_TIMEOUT = 30  # seconds for which an idle connection of a caller stays open
 
 
 class HostProcess:
@@ -116,6 +115,6 @@
         log_config=None,
         access_log=False,
         lifespan='off',
-        timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
+        http=make_bounded_protocol(lambda: DEFAULT_LIMITS),
     )
     return EmbeddedServer(config)
--- a/src/rattanspoke/platform/_http.py
+++ b/src/rattanspoke/platform/_http.py
@@ -20,6 +20,10 @@
 KEEPALIVE_IDLE_S = 5  # without traffic before TCP sends keep-alive probes
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 3
+# A peer in trouble may send bytes without end. These bound the memory that one response
+# can take; a connection that exceeds one of them is aborted.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
 FIRST_FINAL_STATUS = 200  # lower statuses are interim (1xx); the final one follows
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -36,6 +40,7 @@
             message that has this header with another value is a late response to an
             earlier request and is dropped; one without the header is accepted.
         has_body: whether a response to the request's method has a body.
+        max_body_bytes: the size of the body beyond which the response is given up.
 
     Attributes:
         is_complete: whether the final response was read to its end.
@@ -49,9 +54,14 @@
         expected_header: tuple[bytes, bytes] | None = None,
         *,
         has_body: bool = True,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._expected_header = expected_header
         self._has_body = has_body
+        self._max_bytes = MAX_HEAD_BYTES + max_body_bytes
+        self._received = 0
+        self._head_bytes = 0
+        self._has_head = False
         self.parser: Any = None
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
@@ -64,6 +74,16 @@
         """Return the value of a header, None when the response lacks it."""
         return next((each for key, each in self.headers if key == name), None)
 
+    def count_received(self, size: int) -> bool:
+        """Count bytes that were parsed; return whether the response is still bounded.
+
+        Args:
+            size: the number of bytes.
+        """
+        self._received += size
+        self._head_bytes = 0 if self._has_head else self._head_bytes + size
+        return self._head_bytes <= MAX_HEAD_BYTES and self._received <= self._max_bytes
+
     def on_message_begin(self) -> None:
         """Begin a message; one after the complete response belongs to no request."""
         if self.is_complete:
@@ -79,6 +99,7 @@
         if self.is_complete:
             return
         self.status = self.parser.get_status_code()
+        self._has_head = self.status >= FIRST_FINAL_STATUS
         if not self._has_body and self.status >= FIRST_FINAL_STATUS:
             self.is_complete = True
             self.must_close = True
@@ -103,6 +124,7 @@
         if is_late or self.status < FIRST_FINAL_STATUS:
             self.must_close = self.must_close or is_late
             self.status = 0
+            self._has_head = False
             self.headers = []
             self.body.clear()
             return
@@ -202,10 +224,14 @@
         _set_tcp_timeouts(transport.get_extra_info('socket'))
 
     def data_received(self, content: bytes) -> None:
-        """Feed the parser; bytes outside an exchange make the connection unusable."""
+        """Feed the parser; abort the connection on bytes outside an exchange.
+
+        Such bytes belong to no request, and more of them may follow without end.
+        """
         response = self._response
         if response is None:
             self._must_close = True
+            self.abort()
             return
         try:
             response.parser.feed_data(content)
@@ -214,6 +240,10 @@
             self._finish_exchange()
         if response.is_complete:
             self._finish_exchange()
+        elif not response.count_received(len(content)):
+            response.must_close = True
+            self.abort()
+            self._finish_exchange()
 
     def eof_received(self) -> bool:
         """Complete a close-delimited response: an orderly close marks its end."""
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -35,6 +35,10 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
+# Statuses of a change that had no effect. After any other failure it may have had one.
+UNCHANGED_STATUSES = frozenset((400, 401, 403, 405, 411, 413, 429, 503))
+# Of a listing, whose pages hold about a megabyte before they are escaped.
+MAX_LISTING_BYTES = 16 * 1024 * 1024
 FIRST_FAILURE_STATUS = 300  # this status and those above it carry no result
 REQUEST_HEAD = (
     '{method} {path} HTTP/1.1\r\nHost: {address}\r\n'
@@ -176,7 +180,10 @@
         else:
             body = {'meta': {'name': name, 'revision': expected}, 'spec': spec}
             stored = await self._change('PUT', _make_path(kind, name), body)
-        return Revision(_decode(stored, _ObjectForm).meta.revision)
+        try:
+            return Revision(_decode(stored, _ObjectForm).meta.revision)
+        except PlatformUnavailable as error:
+            raise PlatformReplyLost(f'write {kind} {name}: {error}') from error
 
     async def delete(self, kind: str, name: str, expected: Revision) -> None:
         """Delete an object by compare-and-set; raises the same errors as `write`."""
@@ -231,8 +238,10 @@
             raise PlatformReplyLost(f'{label}: {error!r}') from error
         if response.status in {CONFLICT, NOT_FOUND}:
             raise PlatformConflict(label)
-        if response.status >= FIRST_FAILURE_STATUS:
+        if response.status in UNCHANGED_STATUSES:
             raise PlatformUnavailable(f'{label}: status {response.status}')
+        if response.status >= FIRST_FAILURE_STATUS:
+            raise PlatformReplyLost(f'{label}: status {response.status}')
         return bytes(response.body)
 
     async def _call(
@@ -255,7 +264,7 @@
         head = REQUEST_HEAD.format(
             method=method, path=path, address=self._address, length=len(content)
         )
-        response = HttpResponse()
+        response = HttpResponse(max_body_bytes=MAX_LISTING_BYTES)
         try:
             await connection.exchange((head.encode(), content), response, limit)
         finally:
--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -24,6 +24,7 @@
     open_http_connection,
 )
 from ._words import (
+    ACCEPT_ENCODING_HEADER,
     ATTEMPT_ID_HEADER,
     HOP_BY_HOP_HEADERS,
     MISDIRECTED_STATUS,
@@ -32,6 +33,7 @@
     SERVER_SEAL_HEADER,
 )
 
+SUCCESS_STATUSES = range(200, 300)
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
 
@@ -67,6 +69,7 @@
     def __init__(self, connection: HttpClientConnection) -> None:
         self._connection = connection
         self._keep_alive_timeout: Seconds | None = None
+        self._has_echoed = False  # whether the upstream repeats the attempt's id
 
     @property
     def is_reusable(self) -> bool:
@@ -103,6 +106,7 @@
             raise UpstreamError(Reason.DEADLINE, Outcome.UNKNOWN) from error
         except HttpConnectionBroken as error:
             raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN) from error
+        self._check_echo(response)
         self._keep_alive_timeout = _read_keep_alive_timeout(
             response.find_header(b'keep-alive')
         )
@@ -123,6 +127,18 @@
     ) -> None:
         self._connection.close()
 
+    def _check_echo(self, response: HttpResponse) -> None:
+        """Reject a success that may be a second copy of an earlier reply.
+
+        A copy without the attempt's id cannot be told apart by that id, but an upstream
+        that has repeated the id on this connection does so in each reply of its own.
+        """
+        if response.find_header(ATTEMPT_ID_HEADER) is not None:
+            self._has_echoed = True
+        elif self._has_echoed and response.status in SUCCESS_STATUSES:
+            self._connection.abort()
+            raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
+
 
 def _read_reply(upstream: UpstreamId, response: HttpResponse) -> UpstreamReply:
     if response.find_header(b'content-encoding') is not None:
@@ -151,6 +167,8 @@
         for name, value in request.headers
         if name not in HOP_BY_HOP_HEADERS and name not in REPLACED_HEADERS
     ]
+    if any(name == ACCEPT_ENCODING_HEADER for name, _ in request.headers):
+        lines.append(b'Accept-Encoding: identity')
     lines.append(b'Rattanspoke-Time-Budget: %d' % budget_ms)
     lines.append(b'Rattanspoke-Target-Instance: %b' % upstream.encode('latin-1'))
     if request.body or request.method in METHODS_WITH_BODY:
--- a/src/rattanspoke/platform/_words.py
+++ b/src/rattanspoke/platform/_words.py
@@ -33,4 +33,8 @@
         b'upgrade',
     )
 )
-REPLACED_HEADERS = frozenset((TIME_BUDGET_HEADER, TARGET_INSTANCE_HEADER))
+# An encoded reply is not the one that the upstream sealed, so none is asked for.
+ACCEPT_ENCODING_HEADER = b'accept-encoding'
+REPLACED_HEADERS = frozenset(
+    (TIME_BUDGET_HEADER, TARGET_INSTANCE_HEADER, ACCEPT_ENCODING_HEADER)
+)
--- a/src/rattanspoke/services/_connection_pools.py
+++ b/src/rattanspoke/services/_connection_pools.py
@@ -215,7 +215,8 @@
         finally:
             if wakeup in self._idle:
                 self._idle.remove(wakeup)
-        return True
+        # The upstream may have closed it; then another one is opened for the request.
+        return connection.is_reusable
 
     def _needs_fresh_connection(
         self, queued: _QueuedRequest, idle_since: float
--- a/src/rattanspoke/transports/_upstreams.py
+++ b/src/rattanspoke/transports/_upstreams.py
@@ -28,6 +28,7 @@
 IDENTIFY_TIMEOUT = Seconds(1)
 # Also how long the seat waits for the reply to a cancelled call after its deadline,
 # because the upstream's slot may still be in use until then.
+MAX_REPLY_BYTES = 4 * 1024 * 1024  # an upstream in trouble may send without end
 CANCEL_TIMEOUT = Seconds(1)
 CONNECT_TIMEOUT = Seconds(1)
 SERVICE_UNAVAILABLE = 503
@@ -235,7 +236,7 @@
             async with self._session.post(
                 self._base + path, data=data, headers=JSON_HEADERS, timeout=timeout
             ) as response:
-                content = await response.read()
+                content = await _read_bounded(response)
                 status = response.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _make_error(Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN) from error
@@ -252,6 +253,21 @@
         return content
 
 
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a reply.
+
+    Raises:
+        aiohttp.ClientPayloadError: when it is larger than any reply of an upstream.
+    """
+    content = bytearray()
+    async for chunk in response.content.iter_any():
+        content += chunk
+        if len(content) > MAX_REPLY_BYTES:
+            response.close()
+            raise aiohttp.ClientPayloadError('the reply is too large')
+    return bytes(content)
+
+
 def _write_part(part: SubRequest) -> SearchPart:
     return SearchPart(part.version, list(part.shards), part.query, part.limit)
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -643,3 +643,19 @@
             assert asyncio.get_running_loop().time() - started_at < 0.1
 
     run(scene())
+
+
+def test_connection_that_was_closed_while_idle_is_replaced(run):
+    """A request meets no connection that the upstream has closed meanwhile."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('jobs', replicas=1)
+            edge.configure(build_route('jobs'))
+            await asyncio.sleep(SETTLE_SECONDS)
+            for _ in range(3):
+                answer = await edge.ask('host-0')
+                assert isinstance(answer, Relayed)
+                edge.by_service['jobs'][0].closed_idle += 1
+
+    run(scene())
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -149,6 +149,7 @@
                     (b'connection', b'keep-alive'),
                     (b'rattanspoke-time-budget', b'99999'),
                     (b'rattanspoke-target-instance', b'other'),
+                    (b'accept-encoding', b'gzip'),
                 ),
             )
             [(reply, _, _)] = await exchange(script, request, budget=Seconds(1.5))
@@ -163,6 +164,8 @@
             assert lowered.count(b'rattanspoke-time-budget') == 1
             assert lowered.count(b'rattanspoke-target-instance') == 1
             assert b'connection:' not in lowered
+            assert b'accept-encoding: identity' in lowered
+            assert b'gzip' not in lowered
             assert reply.is_success
             assert reply.seal == 's.1'
             assert reply.body == b'done'
@@ -427,6 +430,10 @@
     [
         (make_response(status='409 Conflict'), PlatformConflict),
         (make_response(status='503 Down'), PlatformUnavailable),
+        (make_response(status='429 Too Many'), PlatformUnavailable),
+        (make_response(status='500 Broken'), PlatformReplyLost),
+        (make_response(status='504 Timeout'), PlatformReplyLost),
+        (make_response(b'{"meta": '), PlatformReplyLost),
         (None, PlatformReplyLost),
     ],
 )
