--- a/src/rattanspoke/observability/_logs.py
+++ b/src/rattanspoke/observability/_logs.py
@@ -66,10 +66,11 @@
 
 
 class NonBlockingWriter:
-    """Writes whole lines to a file descriptor and never blocks.
+    """Writes whole lines to a file descriptor; never blocks and never fails.
 
     Attributes:
-        dropped: number of lines dropped because the descriptor was not writable.
+        dropped: number of lines dropped because the descriptor was not writable, or
+            because what reads from it has gone away.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -90,6 +91,10 @@
             if not self._unwritten:
                 self.dropped += 1
                 return len(text)
+        except OSError:
+            # There is no place left to log to. The work that is logged must go on.
+            self.dropped += 1
+            written = len(content)
         self._unwritten = content[written:]
         return len(text)
 
--- a/src/rattanspoke/platform/_front.py
+++ b/src/rattanspoke/platform/_front.py
@@ -1,7 +1,7 @@
 """ASGI applications that serve callers and the load balancer's probes."""
 
 import asyncio
-import sys
+import math
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any, TypeAlias
 
@@ -10,7 +10,6 @@
 from ..model import (
     MS_PER_SECOND,
     CallerAnswer,
-    CallerLimits,
     CallerRequest,
     Failed,
     Headers,
@@ -37,12 +36,18 @@
 Application: TypeAlias = Callable[[Message, Receive, Send], Awaitable[None]]
 
 DEFAULT_TIME_BUDGET = Seconds(60)  # for a request without the header
+MAX_TIME_BUDGET = Seconds(3600)
+DEFAULT_BODY_BYTES = 1024 * 1024  # limit while no desired state is known
 REJECTION_STATUS = {
     Reason.BAD_REQUEST: 400,
     Reason.UNKNOWN_ROUTE: 404,
     Reason.TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
+    Reason.DEADLINE: 408,
 }
+# Rejections before the body was read. The rest of it may be without end, so the
+# connection cannot be used again.
+UNREAD_REASONS = frozenset((Reason.TOO_LARGE, Reason.DEADLINE))
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -109,7 +114,12 @@
     authority = values.get(b'host', b'').decode('latin-1').lower()
     if budget is None or not authority:
         return Rejected(Reason.BAD_REQUEST)
-    body = await _read_body(receive, limits, values.get(b'content-length'))
+    body_bytes = limits.body_bytes if limits else DEFAULT_BODY_BYTES
+    try:
+        async with asyncio.timeout_at(arrived + budget):
+            body = await _read_body(receive, body_bytes, values.get(b'content-length'))
+    except TimeoutError:
+        return Rejected(Reason.DEADLINE)
     if body is None:
         return Rejected(Reason.TOO_LARGE)
     query = scope['query_string']
@@ -132,24 +142,26 @@
 
 
 def _read_budget(value: bytes | None) -> Seconds | None:
-    """Return the seconds that a caller waits, None if the header is not a number."""
+    """Return the seconds that a caller waits, None if the header has no such number."""
     if value is None:
         return DEFAULT_TIME_BUDGET
     try:
-        return Seconds(float(value) / MS_PER_SECOND)
+        budget = float(value) / MS_PER_SECOND
     except ValueError:
         return None
+    if budget < 0 or not math.isfinite(budget):
+        return None
+    return Seconds(min(budget, MAX_TIME_BUDGET))
 
 
 async def _read_body(
-    receive: Receive, limits: CallerLimits | None, length: bytes | None
+    receive: Receive, limit: int, length: bytes | None
 ) -> bytes | None:
-    """Return the complete body, None when it is over the limit.
+    """Return the complete body, None when it is over the limit in bytes.
 
     Raises:
         _CallerDisconnected: when the caller closes its connection first.
     """
-    limit = limits.body_bytes if limits else sys.maxsize
     if length is not None and int(length) > limit:
         return None
     body = b''
@@ -204,6 +216,8 @@
             await _send(send, status, headers, reason.value.encode())
         case Rejected(reason):
             status = REJECTION_STATUS[reason]
+            if reason in UNREAD_REASONS:
+                headers = [(b'connection', b'close')]
             await _send(send, status, headers, reason.value.encode())
 
 
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -10,6 +10,7 @@
 from rattanspoke._reload import POLL_INTERVAL, SettingsReload
 from rattanspoke.model import SettingsError
 from rattanspoke.observability import configure_logs
+from rattanspoke.observability._logs import NonBlockingWriter
 from rattanspoke.platform import load_host_settings
 
 SETTINGS = """
@@ -144,6 +145,17 @@
     assert lines[-1]['event'] == 'other'
 
 
+def test_reader_that_is_gone_does_not_fail_the_host():
+    """Lines are dropped when what reads them has gone; the host goes on."""
+    reading, writing = os.pipe()
+    os.close(reading)
+    writer = NonBlockingWriter(writing)
+    writer.write('line')
+    writer.write('line')
+    os.close(writing)
+    assert writer.dropped == 2
+
+
 def test_stalled_reader_does_not_block_the_host(pipe):
     """Lines that do not fit into a full pipe are dropped whole.
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -216,6 +216,14 @@
             413,
         ),
         ([(b'rattanspoke-time-budget', b'soon')], (), 400),
+        ([(b'rattanspoke-time-budget', b'nan')], (), 400),
+        ([(b'rattanspoke-time-budget', b'inf')], (), 400),
+        ([(b'rattanspoke-time-budget', b'-1')], (), 400),
+        (
+            [(b'rattanspoke-time-budget', b'50')],
+            [{'type': 'http.request', 'body': b'x', 'more_body': True}],
+            408,
+        ),
     ],
 )
 def test_invalid_or_oversized_request_is_rejected(
