Mend faults that the reading of the whole code had found

Each with a test that failed first: - a request that only timed out took capacity out of turn: it now tries only when no other ranks before it, and passes the turn on (test_edge_loads.py); - a retry paid for a timed-out sub-request is returned when no replica is free, and an object without content is deleted by a listing that lacks it (test_decisions.py, test_configuration.py); - records that were there before a host's start got statuses, because they are announced after the watermark has moved; the first watermark is now kept; - an owner with no call in flight did not hear of a crash and used warm seats of the cold upstream. The changed order of events in a test showed it (2 calls over the capacity in test_cold_upstream_is_not_overloaded); owners now report it (test_reads.py); - a reload changed whether the system starts for the first time, though it said that it takes effect at the next start; - the regions of a route and of the zones were decoded and read by nothing; placement now keeps to them.

--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from pathlib import Path
 from types import TracebackType
 from typing import Self
@@ -84,7 +85,12 @@
         await self._stack.aclose()
 
     def apply_settings(self, settings: HostSettings) -> None:
-        """Apply the rules of changed settings without a restart."""
+        """Apply the rules of changed settings without a restart.
+
+        Whether the whole system starts for the first time was decided at the start.
+        """
+        is_first_start = self._settings.is_first_start
+        settings = replace(settings, is_first_start=is_first_start)
         self._settings = settings
         self.kernel.find(RULES).replace(_make_rules(settings))
 
@@ -172,6 +178,7 @@
         drain_time=settings.drain_time,
         seeds=settings.seeds,
         is_first_start=settings.is_first_start,
+        regions=settings.regions,
     )
 
 
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -1,7 +1,7 @@
 """Protocols of the services of a host on the users' platform."""
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -337,6 +337,7 @@
             not answer.
         is_first_start: whether the whole system starts for the first time, so that no
             caller waits yet.
+        regions: the region of each availability zone.
     """
 
     retry_budget: RetryBudgetRule
@@ -344,6 +345,7 @@
     drain_time: Seconds
     seeds: tuple[HostId, ...] = ()
     is_first_start: bool = False
+    regions: Mapping[ZoneId, str] = field(default_factory=dict)
 
 
 class Rules(Protocol):
--- a/src/rattanspoke/contracts/_services.py
+++ b/src/rattanspoke/contracts/_services.py
@@ -165,6 +165,10 @@
     def watermark(self) -> Revision:
         """The revision up to which this host has received every change."""
 
+    @property
+    def first_watermark(self) -> Revision:
+        """The first watermark, NO_REVISION while nothing was listed."""
+
     def zone(self, zone: ZoneId) -> ZoneRecord | None:
         """Return a zone's record."""
 
--- a/src/rattanspoke/decisions/_extra_send_policy.py
+++ b/src/rattanspoke/decisions/_extra_send_policy.py
@@ -88,9 +88,10 @@
         if self.hedges.withdraw(shards):
             sub_request.hedge_cost = shards
             return True
-        return now - sub_request.sent >= self._find_timeout() and self.withdraw_retry(
-            sub_request.upstream
-        )
+        if now - sub_request.sent < self._find_timeout():
+            return False
+        sub_request.is_retry_paid = self.withdraw_retry(sub_request.upstream)
+        return sub_request.is_retry_paid
 
     def refund_unsent(self, sub_request: PendingSubRequest, unsent: int) -> None:
         """Return to the hedge budget what was withdrawn for shards that were not sent.
@@ -101,6 +102,11 @@
         """
         self.hedges.refund(min(sub_request.hedge_cost, unsent))
 
+    def refund_retry(self, sub_request: PendingSubRequest) -> None:
+        """Return the retry paid for a sub-request of which no shard was sent again."""
+        if sub_request.is_retry_paid:
+            self.retries(sub_request.upstream).refund(1)
+
     def withdraw_retry(self, upstream: UpstreamId) -> bool:
         """Withdraw a retry of a sub-request that an upstream failed."""
         return self.retries(upstream).withdraw()
--- a/src/rattanspoke/decisions/_record_replica.py
+++ b/src/rattanspoke/decisions/_record_replica.py
@@ -99,7 +99,9 @@
         deleted = [
             StoredObject(kind=known.kind, name=known.name, revision=until, content=None)
             for name, known in self._objects.items()
-            if name not in present and known.content and known.revision <= until
+            if name not in present
+            and known.content is not None
+            and known.revision <= until
         ]
         self.watermark = until
         return changes + self.adopt(deleted)
--- a/src/rattanspoke/decisions/_search_state.py
+++ b/src/rattanspoke/decisions/_search_state.py
@@ -37,6 +37,7 @@
         is_hedge: whether it was itself sent as a hedge.
         hedge_after: the time before which it must not be hedged.
         hedge_cost: shards that were withdrawn from the hedge budget for its hedge.
+        is_retry_paid: whether its hedge was paid from the retry budget instead.
     """
 
     attempt: int
@@ -47,6 +48,7 @@
     is_hedge: bool = False
     hedge_after: Seconds = IMMEDIATELY
     hedge_cost: int = 0
+    is_retry_paid: bool = False
 
 
 @dataclass(slots=True)
--- a/src/rattanspoke/services/_catalog.py
+++ b/src/rattanspoke/services/_catalog.py
@@ -7,6 +7,7 @@
 from ..decisions import RecordReplica
 from ..kernel import Kernel
 from ..model import (
+    NO_REVISION,
     EventKind,
     IndexRecord,
     OrganisationRecord,
@@ -40,12 +41,21 @@
         self._counters = kernel.find(COUNTERS)
         self._timeline = kernel.find(TIMELINE)
         self._adoption = RecordReplica(kernel.find(CODEC).decode_record)
+        self._first_watermark = NO_REVISION
 
     @property
     def watermark(self) -> Revision:
         """The revision up to which this host has received every change."""
         return self._adoption.watermark
 
+    @property
+    def first_watermark(self) -> Revision:
+        """The first watermark, NO_REVISION while nothing was listed.
+
+        Records of a later revision changed while this host was running.
+        """
+        return self._first_watermark
+
     def zone(self, zone: ZoneId) -> ZoneRecord | None:
         """Return a zone's record."""
         return self._find(RecordKind.ZONE, zone, ZoneRecord)
@@ -113,12 +123,15 @@
         changes, gap = self._adoption.adopt_range(
             after, until, _drop_unknown_kinds(objects)
         )
+        self._note_first_watermark()
         self._announce(changes)
         return gap
 
     def adopt_list(self, until: Revision, objects: tuple[StoredObject, ...]) -> None:
         """Apply a complete listing taken at a revision."""
-        self._announce(self._adoption.adopt_list(until, _drop_unknown_kinds(objects)))
+        changes = self._adoption.adopt_list(until, _drop_unknown_kinds(objects))
+        self._note_first_watermark()
+        self._announce(changes)
 
     def adopt_written(self, stored: StoredObject) -> None:
         """Apply an object that this host wrote itself."""
@@ -131,6 +144,10 @@
             for (kind, name), record_status in self._adoption.rejected.items()
         }
 
+    def _note_first_watermark(self) -> None:
+        if self._first_watermark == NO_REVISION:
+            self._first_watermark = self._adoption.watermark
+
     def _announce(self, changes: list[RecordChange]) -> None:
         for change in changes:
             self._counters.add(Metric.RECORDS_ADOPTED, change.kind.value)
--- a/src/rattanspoke/services/_fanout.py
+++ b/src/rattanspoke/services/_fanout.py
@@ -346,6 +346,7 @@
         found = self._send(shards, is_hedge=True)
         self._allowance.refund_unsent(sub_request, len(shards) - found)
         if not found:
+            self._allowance.refund_retry(sub_request)
             return
         self._counters.add(Metric.HEDGES)
         self._counters.add(Metric.HEDGED_SHARDS, '', found)
--- a/src/rattanspoke/services/_health.py
+++ b/src/rattanspoke/services/_health.py
@@ -149,8 +149,14 @@
         self._note_warmth()
 
     def note_down(self) -> None:
-        """Count a refused or lost connection; the next incarnation starts cold."""
+        """Count a refused or lost connection; the next incarnation starts cold.
+
+        The other owners are told. One without a call in flight would not notice.
+        """
+        ended = self._slow_start.incarnation
         self._slow_start.note_loss()
+        if ended:
+            self._send_report(self.record.upstream, ended, 0)
         self._down_until = Seconds(read_clock() + self._next_down_time)
         self._next_down_time = Seconds(min(MAX_DOWN_TIME, self._next_down_time * 2))
         self._note_warmth()
--- a/src/rattanspoke/services/_record_statuses.py
+++ b/src/rattanspoke/services/_record_statuses.py
@@ -55,7 +55,8 @@
         return self
 
     def _note_change(self, change: RecordChange) -> None:
-        is_update = self._catalog.watermark != NO_REVISION
+        first = self._catalog.first_watermark
+        is_update = first != NO_REVISION and change.revision > first
         if is_update and change.kind is not RecordKind.SEATS:
             name = f'{change.kind.value}.{change.name}'
             self._pending[name] = RecordStatus(revision=change.revision)
--- a/src/rattanspoke/services/_replica_selection.py
+++ b/src/rattanspoke/services/_replica_selection.py
@@ -108,15 +108,15 @@
         if not queue_time:
             target = self._choose_target(service, pending.route, tried)
         while target is None:
-            available_in = self._find_available_in(service, tried)
+            available_in = self._find_available_in(service, pending.route, tried)
             queue_time = Seconds(queue_time + self._estimate_baseline(pending.route))
             if not is_waiting_useful(available_in, queue_time, pending, _now()):
                 return None
             available_in = max(available_in or RECHECK_INTERVAL, MIN_WAIT)
             time_left = Seconds(pending.give_up_at - read_clock())
-            await self._queues[service].wait(pending, min(time_left, available_in))
-            queue_time = Seconds(0)  # a woken request is the first of its queue
-            target = self._choose_target(service, pending.route, tried)
+            target, queue_time = await self._await_turn(
+                service, pending, tried, Seconds(min(time_left, available_in))
+            )
         return target
 
     def estimate_retry_after(
@@ -124,7 +124,7 @@
     ) -> Seconds:
         """Return the seconds after which a refused caller should retry."""
         return choose_retry_after(
-            self._find_available_in(service, ()),
+            self._find_available_in(service, pending.route, ()),
             self._estimate_queue_time(service, pending),
             Seconds(pending.give_up_at - read_clock()),
             self._random.random(),
@@ -202,6 +202,33 @@
         if ratio > replica.slowness:
             replica.note_slow(ratio, now)
 
+    async def _await_turn(
+        self,
+        service: ServiceId,
+        pending: PendingRequest,
+        tried: Collection[UpstreamId],
+        limit: Seconds,
+    ) -> tuple[Registration | None, Seconds]:
+        """Wait until a request ranks first, and choose an upstream for it then.
+
+        Returns:
+            The upstream, None when there is none or the request does not rank first,
+            and the seconds until the requests that rank before it are sent.
+        """
+        queue = self._queues[service]
+        is_first = await queue.wait(pending, limit)
+        queue_time = Seconds(0)
+        if not is_first:
+            queue_time = self._estimate_queue_time(service, pending)
+        if queue_time:
+            return None, queue_time
+        target = self._choose_target(service, pending.route, tried)
+        if target is not None or tried:
+            # There may be capacity for the next request as well, or capacity that a
+            # request which was tried there already cannot use.
+            queue.wake_first(self._rank)
+        return target, queue_time
+
     def _choose_target(
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Registration | None:
@@ -209,8 +236,7 @@
         now = _now()
         targets = {
             target.upstream: target
-            for target in self._directory.replicas(service)
-            if target.upstream not in tried
+            for target in self._list_targets(service, route, tried)
         }
         replicas = [
             self._find_replica(target)
@@ -225,7 +251,7 @@
         return None if chosen is None else targets[chosen.upstream]
 
     def _find_available_in(
-        self, service: ServiceId, tried: Collection[UpstreamId]
+        self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Seconds | None:
         """Return the seconds until an untried upstream leaves its pause.
 
@@ -236,8 +262,7 @@
         now = read_clock()
         replicas = [
             self._find_replica(target)
-            for target in self._directory.replicas(service)
-            if target.upstream not in tried
+            for target in self._list_targets(service, route, tried)
         ]
         if not replicas:
             return None
@@ -262,6 +287,18 @@
     def _rank(self, pending: PendingRequest) -> tuple[bool, int, float]:
         return rank_pending(pending, self._estimate_baseline(pending.route), _now())
 
+    def _list_targets(
+        self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
+    ) -> list[Registration]:
+        """Return the upstreams that the route's regions allow and were not tried."""
+        regions = self._rules.current.regions
+        return [
+            target
+            for target in self._directory.replicas(service)
+            if target.upstream not in tried
+            and (not route.regions or regions.get(target.zone) in route.regions)
+        ]
+
     def _log_pause(self, target: Registration, replica: Replica, now: Seconds) -> None:
         """Log that an upstream is paused, with the statistics that led to it."""
         pause = replica.paused_until - now
--- a/src/rattanspoke/services/_request_queue.py
+++ b/src/rattanspoke/services/_request_queue.py
@@ -29,17 +29,22 @@
         own = rank(pending)
         return [each for each in self._queue.values() if rank(each) <= own]
 
-    async def wait(self, pending: PendingRequest, limit: Seconds) -> None:
-        """Queue a request until it is woken, or until a limit in seconds has passed."""
+    async def wait(self, pending: PendingRequest, limit: Seconds) -> bool:
+        """Queue a request until it is woken, or until a limit in seconds has passed.
+
+        Returns:
+            Whether it was woken, which means that it ranked first.
+        """
         woken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._queue[woken] = pending
         try:
             async with asyncio.timeout(limit):
                 await woken
         except TimeoutError:
-            return
+            return False
         finally:
             del self._queue[woken]
+        return True
 
     def wake_first(self, rank: Rank) -> None:
         """Wake the first pending request so that it looks for a free upstream."""
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -261,10 +261,12 @@
     Attributes:
         hosts: number of hosts that are started at entry, in the zones in turn.
         retry_budget: limit on extra sends that the hosts are started with.
+        regions: the region of each availability zone.
     """
 
     hosts: int = 3
     retry_budget: RetryBudgetRule = RetryBudgetRule(0.2, 52)
+    regions: dict[ZoneId, str] = field(default_factory=dict)
     store: StandinPlatform = field(default_factory=StandinPlatform)
     network: LocalNetwork = field(default_factory=LocalNetwork)
     kernels: dict[HostId, Kernel] = field(default_factory=dict)
@@ -320,6 +322,7 @@
             slow_start=SlowStartRule(1.5, 5),
             drain_time=DRAIN_TIME,
             seeds=tuple(map(HostId, seeds)),
+            regions=self.regions,
         )
         kernel = assemble_edge(identity, entry, adapters, rules, seed=7)
         stack = AsyncExitStack()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rattanspoke.contracts import CATALOG, PLATFORM, WATCH
+from rattanspoke.decisions import RecordReplica
 from rattanspoke.model import (
     HostId,
     PlatformConflict,
@@ -182,6 +183,31 @@
     run(scene())
 
 
+def test_records_that_were_there_before_the_start_get_no_status(run):
+    """Only a record that changed later, or is rejected, has a status to report."""
+
+    async def scene():
+        async with Tier() as tier:
+            await asyncio.sleep(PROPAGATION_LIMIT)
+            listing = await tier.environment.platform.list_kind('status')
+            assert not listing.objects
+            set_zone(tier, ZoneState.TAKEN_OUT)
+            await asyncio.sleep(PROPAGATION_LIMIT)
+            listing = await tier.environment.platform.list_kind('status')
+            assert [each.name for each in listing.objects] == [f'zone.{ZONE}']
+
+    run(scene())
+
+
+def test_empty_object_that_a_listing_lacks_is_deleted():
+    """An object without content is one like any other until a tombstone replaces it."""
+    replica = RecordReplica(RecordCodec().decode_record)
+    empty = StoredObject(kind='zone', name='a', revision=Revision(3), content=b'')
+    replica.adopt([empty])
+    replica.adopt_list(Revision(5), [])
+    assert [each.content for each in replica.select_after(Revision(3))] == [None]
+
+
 def test_invalid_record_leaves_the_last_good_one(run):
     """Every host rejects an invalid record for the same reason and keeps the old one.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,7 +8,10 @@
     BLOCK_TIME,
     BLOCKING_CRASHES,
     CrashSuspects,
+    ExtraSendPolicy,
     FairQueue,
+    LatencyWindow,
+    PendingSubRequest,
     QueueItem,
     RetryBudget,
     SlowStart,
@@ -17,12 +20,14 @@
     choose_shed_reason,
 )
 from rattanspoke.model import (
+    CoverageFirst,
     Fingerprint,
     Incarnation,
     OrganisationId,
     Reason,
     Seconds,
     ServiceId,
+    ShardId,
     UpstreamId,
     UpstreamRecord,
     ZoneId,
@@ -165,6 +170,23 @@
     assert suspects.is_blocked(query_of_death, Seconds(1))
 
 
+def test_retry_that_finds_no_replica_is_returned():
+    """Guard against spending retries on sub-requests that no other replica can take."""
+    retries = RetryBudget(ratio=1, capacity=1, balance=1)
+    policy = ExtraSendPolicy(
+        policy=CoverageFirst(),
+        search_time=Seconds(1),
+        window=LatencyWindow(),
+        hedges=RetryBudget(ratio=0, capacity=1),
+        retries=lambda upstream: retries,
+    )
+    sub_request = PendingSubRequest(1, UpstreamId('u'), (ShardId('s'),), Seconds(0))
+    assert policy.withdraw_hedge(sub_request, 1, Seconds(0.9))
+    assert retries.balance == 0
+    policy.refund_retry(sub_request)
+    assert retries.balance == 1
+
+
 def test_one_crash_counts_once():
     """Guard against blocking a request because several hosts report the same crash."""
     suspects = CrashSuspects()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -24,7 +24,7 @@
     StateKind,
 )
 
-from .edges import SETTLE_SECONDS, Edge, build_route, build_shard_route
+from .edges import SETTLE_SECONDS, ZONES, Edge, build_route, build_shard_route
 
 # Seconds within which upstreams whose registrations expired in an outage of the store
 # register again, as the platform promises.
@@ -645,6 +645,25 @@
     run(scene())
 
 
+def test_requests_stay_in_the_regions_of_their_route(run):
+    """Upstreams of other regions get nothing, also when those of the region fail."""
+
+    async def scene():
+        regions = dict(zip(ZONES, ('north', 'south', 'south'), strict=True))
+        async with Edge(hosts=1, regions=regions) as edge:
+            edge.add_service('jobs')
+            edge.configure(build_route('jobs', allowedRegions=['north']))
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert isinstance(await edge.ask('host-0'), Relayed)
+            own, *others = edge.by_service['jobs']
+            own.is_down = True
+            assert not isinstance(await edge.ask('host-0'), Relayed)
+            assert own.arrivals
+            assert not any(each.arrivals for each in others)
+
+    run(scene())
+
+
 def test_connection_that_was_closed_while_idle_is_replaced(run):
     """A request meets no connection that the upstream has closed meanwhile."""
 
--- a/tests/test_edge_loads.py
+++ b/tests/test_edge_loads.py
@@ -349,3 +349,39 @@
             assert len(cold.arrivals) > 0.2 * 300
 
     run(scene())
+
+
+def test_capacity_that_appears_goes_to_the_urgent_requests(run):
+    """Load pattern: patient requests wait first, urgent ones after them.
+
+    The upstream that they wait for replies to nobody while another one appears, so no
+    reply wakes them: each looks for capacity when its time to do so has come.
+    """
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', replicas=1, work=5)
+            patience = {'targetLatencyMs': 4000, 'timeoutMs': 9000, 'maxAttempts': 1}
+            edge.configure(
+                build_route('one', '/urgent/', priority=0, **patience),
+                build_route('one', '/patient/', priority=3, **patience),
+            )
+            await asyncio.sleep(SETTLE_SECONDS)
+            asking = []
+            for path, many in (('/patient/x', 7), ('/urgent/x', 3)):
+                for _ in range(many):
+                    asking.append(
+                        asyncio.ensure_future(edge.ask('host-0', path, limit=8))
+                    )
+                    await asyncio.sleep(0.01)
+            busy = edge.by_service.pop('one')
+            edge.add_service('one', replicas=2, work=5)
+            another = edge.by_service['one'][1]
+            edge.by_service['one'][0].arrivals = busy[0].arrivals
+            await asyncio.sleep(1)
+            urgent = {f'attempt-{number}' for number in (8, 9, 10)}
+            assert {attempt for _, attempt in another.arrivals} == urgent
+            for each in asking:
+                each.cancel()
+
+    run(scene())
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -7,7 +7,9 @@
 import pytest
 import structlog
 
+from rattanspoke._edge_process import EdgeProcess
 from rattanspoke._reload import POLL_INTERVAL, SettingsReload
+from rattanspoke.contracts import RULES
 from rattanspoke.model import SettingsError
 from rattanspoke.observability import configure_logs
 from rattanspoke.observability._logs import NonBlockingWriter
@@ -132,6 +134,17 @@
     os.close(reading)
 
 
+def test_first_start_is_decided_at_the_start(tmp_path):
+    """A reload changes the rules, but not whether the system starts first."""
+    first = load_host_settings(write(tmp_path, f'{SETTINGS}bootstrap=true\n'))
+    process = EdgeProcess(first)
+    changed = SETTINGS.replace('drainMs=3000', 'drainMs=4000')
+    process.apply_settings(load_host_settings(write(tmp_path, changed)))
+    rules = process.kernel.find(RULES).current
+    assert rules.drain_time == 4
+    assert rules.is_first_start
+
+
 def test_repeated_lines_are_dropped_and_counted(pipe):
     """A burst of one event is cut off, while another event is still logged."""
     reading, stream = pipe
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from rattanspoke.contracts import ORGANISATIONS, PEERS, Metric
+from rattanspoke.contracts import (
+    ORGANISATIONS,
+    OWNED_UPSTREAMS,
+    PEERS,
+    SEATS,
+    Metric,
+)
 from rattanspoke.model import (
     Baseline,
     CoverageFirst,
@@ -248,6 +254,28 @@
     run(scene())
 
 
+def test_owner_without_a_call_hears_of_a_crash(run):
+    """An owner that had nothing in flight uses the cold seats only after a crash."""
+
+    async def scene():
+        async with Tier(Scenario(ramp=4), hosts_per_zone=2) as tier:
+            await drive(tier, rate=100, seconds=5)
+            name = UpstreamId('jobs-zone-a-0')
+            upstream = tier.environment.upstreams[name]
+            dispatchers = [
+                kernel.find(OWNED_UPSTREAMS)._dispatchers[name]
+                for kernel in tier.kernels.values()
+                if kernel.find(SEATS).held(name)
+            ]
+            assert len(dispatchers) == 2
+            one, other = (each.health for each in dispatchers)
+            one.note_down()
+            await asyncio.sleep(0.1)
+            assert other.count_allowed_seats() == upstream.record.cold_slots
+
+    run(scene())
+
+
 @pytest.mark.parametrize('trigger', ['crash', 'unannounced'])
 def test_cold_upstream_is_not_overloaded(run, trigger):
     """Check that an upstream that turned cold is not overloaded and does not crash.
