Let hosts that start together find each other through third hosts

Cause: a host that starts with the whole fleet asks a seed for the others after 1 s. Seeds that are busy answer with few, and a host that knows none of its own zone takes itself for its relay. Change: a relay lists all hosts that it hears itself; hosts list the store's entries once more when these must be there; a watcher contacts a registered host that it does not know before it deletes the entry. The age after which a host asks the store itself allows for heartbeats that are left out because the other side has just sent one. Before: test_hosts_that_found_only_a_few_others_find_all fails. After: it passes.

--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -238,6 +238,9 @@
     def add_hosts(self, hosts: Mapping[HostId, ZoneId]) -> None:
         """Add hosts that were found in the store or listed by another host."""
 
+    def contact(self, host: HostId) -> None:
+        """Send a heartbeat to a host, which becomes known if it answers."""
+
     async def ask_for_hosts(self) -> bool:
         """Learn of all hosts from a seed; return whether one answered."""
 
--- a/src/rattanspoke/decisions/_fleet_view.py
+++ b/src/rattanspoke/decisions/_fleet_view.py
@@ -3,10 +3,14 @@
 Load pattern: of hundreds of hosts, each hears only the relays of its zone, yet every
 host divides the limits on connections, extra sends and cold upstreams by the number of
 all hosts. A host that counts too few breaks those limits. Therefore each relay keeps a
-roster of the hosts of its zone that it hears itself. The relays of other zones copy it
-and pass the copy on to the hosts of their own zone, and no further, so that hosts that
-are gone do not live on in rosters that confirm each other. A host counts until no relay
-has heard it for GONE_AFTER.
+roster of the hosts that it hears itself. The relays of other zones copy what it lists
+of its own zone and pass the copy on to the hosts of theirs, and no further, so that
+hosts that are gone do not live on in rosters that confirm each other. A host counts
+until no relay has heard it for GONE_AFTER.
+
+When all hosts start at once, each finds only some of the others, and several hosts of a
+zone that do not know each other take themselves for its relays. All of them contact
+relays of other zones, and find each other in the rosters of those.
 """
 
 from collections.abc import Mapping
@@ -79,7 +83,7 @@
         watchers: the hosts that it takes to watch the store.
         is_relay: whether it is a relay of its zone.
         peers: what it knows of each host that it did not only copy from a roster.
-        zone_roster: the hosts of its zone that it hears, for hosts of other zones.
+        heard_roster: the hosts that it hears, for hosts of other zones.
         fleet_roster: these, and what it copied from the relays of the other zones, for
             the hosts of its zone.
     """
@@ -91,11 +95,11 @@
     watchers: tuple[HostId, ...] = ()
     is_relay: bool = True
     peers: dict[HostId, PeerView] = field(default_factory=dict)
-    zone_roster: Roster = field(default_factory=dict)
+    heard_roster: Roster = field(default_factory=dict)
     fleet_roster: Roster = field(default_factory=dict)
     _known: dict[HostId, ZoneId] = field(default_factory=dict)
     _zone_hosts: int = 1
-    _zone_digest: int = 0
+    _heard_digest: int = 0
     _fleet_digest: int = 0
 
     def __post_init__(self) -> None:
@@ -164,9 +168,9 @@
         reaching = self.reaching_store(now, is_store_failing=is_store_failing)
         self.watchers = choose_watchers(reaching)
         self.sources = choose_sources(self.host, self.zone, relays, self.watchers)
-        self.zone_roster = {self.zone: self._list_heard_of_zone()}
-        self.fleet_roster = {**self._copy_far_rosters(), **self.zone_roster}
-        self._zone_digest = digest_roster(self.zone_roster)
+        self.heard_roster = self._list_heard()
+        self.fleet_roster = {**self.heard_roster, **self._copy_far_rosters()}
+        self._heard_digest = digest_roster(self.heard_roster)
         self._fleet_digest = digest_roster(self.fleet_roster)
         return tuple(host for host in former if host not in self._known)
 
@@ -238,26 +242,26 @@
         )
 
     def choose_roster(self, receiver: HostId) -> Roster:
-        """Return the roster for a host: of this zone, or of the fleet within it."""
+        """Return the roster for a host: of the fleet if it is in this zone."""
         peer = self.peers.get(receiver)
         is_far = peer is not None and peer.zone != self.zone
-        return self.zone_roster if is_far else self.fleet_roster
+        return self.heard_roster if is_far else self.fleet_roster
 
     def digest_for(self, receiver: HostId) -> int:
         """Return the digest of the roster for a host."""
         is_fleet = self.choose_roster(receiver) is self.fleet_roster
-        return self._fleet_digest if is_fleet else self._zone_digest
+        return self._fleet_digest if is_fleet else self._heard_digest
 
-    def _list_heard_of_zone(self) -> tuple[HostId, ...]:
-        heard = (
-            host
-            for host, peer in self.peers.items()
-            if peer.zone == self.zone and peer.last_heard is not None
-        )
-        return tuple(sorted((self.host, *heard)))
+    def _list_heard(self) -> Roster:
+        """Return the hosts that this one hears itself by zone, itself included."""
+        heard = {self.zone: [self.host]}
+        for host, peer in self.peers.items():
+            if peer.last_heard is not None:
+                heard.setdefault(peer.zone, []).append(host)
+        return {zone: tuple(sorted(hosts)) for zone, hosts in heard.items()}
 
     def _copy_far_rosters(self) -> Roster:
-        """Return what the relays of the other zones hear in their own zones."""
+        """Return the hosts heard in other zones, and what those hear in their own."""
         zones: dict[ZoneId, set[HostId]] = {}
         for host, peer in self.peers.items():
             if peer.zone != self.zone and peer.last_heard is not None:
--- a/src/rattanspoke/decisions/_topology.py
+++ b/src/rattanspoke/decisions/_topology.py
@@ -28,6 +28,9 @@
 # Heartbeats in sequence from a watcher to any host: one to a relay of its zone, and one
 # from there.
 WATCHER_HOPS = 2
+# Intervals between two heartbeats that a host has from another at most: the one that
+# would come first is left out if the other side has sent one meanwhile.
+HEARTBEAT_GAP = 1.5
 DELIVERY_SLACK = Seconds(0.2)  # for calls and heartbeats in transit
 
 Relays = Mapping[ZoneId, tuple[HostId, ...]]
@@ -57,7 +60,8 @@
     Args:
         interval: the seconds between heartbeats to one host.
     """
-    return Seconds(WATCH_WAIT + WATCHER_HOPS * interval + DELIVERY_SLACK)
+    delivery = WATCHER_HOPS * HEARTBEAT_GAP * interval + DELIVERY_SLACK
+    return Seconds(WATCH_WAIT + delivery)
 
 
 def choose_silence_limit(interval: Seconds) -> Seconds:
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -119,6 +119,10 @@
         self._is_settled = True
         self._refresh()
 
+    def contact(self, host: HostId) -> None:
+        """Send a heartbeat to a host, which becomes known if it answers."""
+        self._send_heartbeat(host)
+
     async def ask_for_hosts(self) -> bool:
         """Learn of all hosts from a seed; return whether one answered."""
         for seed in self._rules.current.seeds:
--- a/src/rattanspoke/services/_host_registry.py
+++ b/src/rattanspoke/services/_host_registry.py
@@ -23,6 +23,9 @@
 
 RETRY_DELAY = Seconds(0.5)  # between attempts while the store fails
 SEED_DELAY = Seconds(1)  # in which all hosts that start together have contacted a seed
+# A listing of the store may be some seconds old. After this time it has the entries of
+# all hosts that started together.
+SECOND_LISTING_DELAY = Seconds(4)
 RECONCILE_INTERVAL = Seconds(8)  # between checks of the entries in the store
 
 
@@ -54,10 +57,16 @@
         that register at the same moment. All of them contact the seeds, though.
         """
         await self._register()
-        if self._rules.current.is_first_start:
-            await asyncio.sleep(SEED_DELAY)
-            if await self._fleet.ask_for_hosts():
-                return
+        if not self._rules.current.is_first_start:
+            await self._find_registered_hosts()
+            return
+        await asyncio.sleep(SEED_DELAY)
+        if not await self._fleet.ask_for_hosts():
+            await self._find_registered_hosts()
+        await asyncio.sleep(SECOND_LISTING_DELAY)
+        await self._find_registered_hosts()
+
+    async def _find_registered_hosts(self) -> None:
         while not await self._read_entries():
             if await self._fleet.ask_for_hosts():
                 return
@@ -113,11 +122,16 @@
                 self._log.warning('host entries not corrected', reason=str(error))
 
     async def _correct_entries(self, suspects: set[HostId]) -> set[HostId]:
-        """Correct the entries of suspect hosts; return the suspects for next time."""
+        """Correct the entries of suspect hosts; return the suspects for next time.
+
+        A host that is registered but not known is contacted first.
+        """
         entries = await self._list_entries()
         known = self._fleet.known_hosts()
         unknown = entries.keys() - known.keys()
         missing = known.keys() - entries.keys()
+        for host in unknown:
+            self._fleet.contact(host)
         for host in unknown & suspects:
             _, stored = entries[host]
             await self._store.delete(HOST_KIND, stored.name, stored.revision)
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -262,11 +262,13 @@
         hosts: number of hosts that are started at entry, in the zones in turn.
         retry_budget: limit on extra sends that the hosts are started with.
         regions: the region of each availability zone.
+        is_first_start: whether the hosts know that all of them start together.
     """
 
     hosts: int = 3
     retry_budget: RetryBudgetRule = RetryBudgetRule(0.2, 52)
     regions: dict[ZoneId, str] = field(default_factory=dict)
+    is_first_start: bool = False
     store: StandinPlatform = field(default_factory=StandinPlatform)
     network: LocalNetwork = field(default_factory=LocalNetwork)
     kernels: dict[HostId, Kernel] = field(default_factory=dict)
@@ -323,6 +325,7 @@
             drain_time=DRAIN_TIME,
             seeds=tuple(map(HostId, seeds)),
             regions=self.regions,
+            is_first_start=self.is_first_start,
         )
         kernel = assemble_edge(identity, entry, adapters, rules, seed=7)
         stack = AsyncExitStack()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,13 @@
     STATE_REPLICATION,
     Metric,
 )
-from rattanspoke.decisions import GONE_AFTER, FleetView, choose_links, choose_relays
+from rattanspoke.decisions import (
+    GONE_AFTER,
+    STORE_WATCHERS,
+    FleetView,
+    choose_links,
+    choose_relays,
+)
 from rattanspoke.model import (
     HOST_KIND,
     NO_REVISION,
@@ -19,6 +25,7 @@
     Seconds,
     ZoneId,
 )
+from rattanspoke.services import HostFleet, HostRegistry
 
 from .edges import SETTLE_SECONDS, ZONES, Edge, build_route
 
@@ -73,6 +80,39 @@
     run(scene())
 
 
+def test_hosts_that_found_only_a_few_others_find_all(run, monkeypatch):
+    """Hosts that start together learn of all others, though a slow seed lists few.
+
+    Load pattern: the seeds get the first heartbeats of the whole fleet at once and
+    answer late. Those who asked before know no other host of their own zone.
+    """
+
+    async def list_seeds(fleet):
+        fleet.add_hosts({HostId('host-1'): ZoneId(ZONES[1])})
+        return True
+
+    async def never(registry):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(HostFleet, 'ask_for_hosts', list_seeds)
+    monkeypatch.setattr(HostRegistry, '_find_registered_hosts', never)
+
+    async def scene():
+        async with Edge(hosts=LARGE_FLEET, is_first_start=True) as edge:
+            edge.add_service('one')
+            edge.configure(build_route('one'))
+            await asyncio.sleep(8)
+            assert list_counts(edge) == {LARGE_FLEET}
+            watchers = [
+                host
+                for host, kernel in edge.kernels.items()
+                if kernel.find(FLEET).is_watcher
+            ]
+            assert len(watchers) == STORE_WATCHERS
+
+    run(scene())
+
+
 def test_heartbeats_of_a_host_do_not_grow_with_the_fleet(run):
     """A host that is no relay sends as many bundles in a large fleet as in a small one.
 
