Give a part of the slack of extra sends back with time

With a spent budget a hedge waits up to five medians, longer than the objective of an urgent search. Change: 0.2 of the slack comes back in each window (budgetWindowS, read from the settings); two restarts of every host in a window stay within the limit, with a smaller first balance. Tests: test_any_window_stays_within_the_bound replays greedy hosts that are killed twice.

--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -173,6 +173,7 @@
             settings.retry_ratio,
             settings.retry_slack,
             starts_full=settings.is_first_start,
+            window=settings.retry_window,
         ),
         slow_start=SlowStartRule(settings.cold_factor, settings.cold_slack),
         drain_time=settings.drain_time,
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -308,11 +308,13 @@
         slack: extra sends allowed in a window in addition to the ratio.
         starts_full: whether retry budgets start at full capacity, because no earlier
             incarnation of any host can have withdrawn from them in this window.
+        window: seconds of a window, of which any is counted.
     """
 
     ratio: float
     slack: float
     starts_full: bool = True
+    window: Seconds = Seconds(10)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -100,6 +100,7 @@
     choose_retry_after,
 )
 from ._retry_budget import (
+    REFILL_FRACTION,
     choose_initial_hedge_delay,
     divide_slack,
     make_extra_budget,
@@ -211,6 +212,7 @@
     'PART_TIMEOUT_FRACTION',
     'QUANTILE_STEPS',
     'RECENT_CALLS',
+    'REFILL_FRACTION',
     'REUSE_LOAD_FACTOR',
     'SELF_FENCE_AFTER',
     'SIGNIFICANT_DIGITS',
--- a/src/rattanspoke/decisions/_budget.py
+++ b/src/rattanspoke/decisions/_budget.py
@@ -52,12 +52,16 @@
         capacity: the largest balance.
         balance: tokens available now; negative while overdrawn.
         overdraft: how far below zero the balance may go; later deposits make up for it.
+        rate: tokens added per second, whatever the ordinary work.
+        refilled_at: when they were added last, in seconds of the caller's clock.
     """
 
     ratio: float
     capacity: float
     balance: float = 0
     overdraft: float = 0
+    rate: float = 0
+    refilled_at: Seconds | None = None
 
     @property
     def remaining_fraction(self) -> float:
@@ -81,6 +85,13 @@
         """
         self.balance = min(self.capacity, self.balance + amount * self.ratio)
 
+    def refill(self, now: Seconds) -> None:
+        """Add the tokens for the time since the last call, up to the capacity."""
+        if self.refilled_at is not None:
+            gained = max(0, now - self.refilled_at) * self.rate
+            self.balance = min(self.capacity, self.balance + gained)
+        self.refilled_at = now
+
     def refund(self, amount: float) -> None:
         """Return the tokens that were withdrawn for extra sends that did not happen."""
         self.balance = min(self.capacity, self.balance + amount)
--- a/src/rattanspoke/decisions/_retry_budget.py
+++ b/src/rattanspoke/decisions/_retry_budget.py
@@ -4,10 +4,14 @@
 hedge, while every hedge and retry adds to the load of the other upstreams. The platform
 limits the extra sends of all hosts together in each time window: a ratio to the
 requests, plus a fixed number (the slack). Each host keeps to its share of the limit
-without asking the others. A host that is killed and restarts within a window does not
-know what it has withdrawn, and starts with a small balance.
+without asking the others: most of its part of the slack is a balance for bursts, and
+some of it comes back with time. In a large fleet the slack is as large as the requests,
+and the ratio alone would leave most of it unused. A host that is killed and restarts
+within a window does not know what it has withdrawn, and starts with a small balance.
 """
 
+import math
+
 from ..model import Seconds
 from ._budget import RetryBudget
 
@@ -17,10 +21,16 @@
 SAFETY_FACTOR = 0.85
 # Largest balance of all hosts together, as a fraction of the slack.
 SLACK_FRACTION = 0.55
+# What all hosts together regain in a window, as a fraction of the slack.
+REFILL_FRACTION = 0.2
 # Balance of a restarted host, as a fraction of its capacity. Two restarts of every host
-# in one window stay within SAFETY_FACTOR of the slack, and a restarted host has enough
-# for a hedge.
-INITIAL_FRACTION = (SAFETY_FACTOR - SLACK_FRACTION) / 2 / SLACK_FRACTION
+# in one window stay within SAFETY_FACTOR of the slack.
+INITIAL_FRACTION = (
+    (SAFETY_FACTOR - SLACK_FRACTION - REFILL_FRACTION) / 2 / SLACK_FRACTION
+)
+
+
+NEVER = Seconds(math.inf)
 
 
 def make_extra_budget(
@@ -41,7 +51,11 @@
 
 
 def resize_extra_budget(
-    budget: RetryBudget, ratio: float, slack: float, live_hosts: int
+    budget: RetryBudget,
+    ratio: float,
+    slack: float,
+    live_hosts: int,
+    window: Seconds = NEVER,
 ) -> None:
     """Adjust a host's budget to new rules or to a new number of live hosts.
 
@@ -50,8 +64,10 @@
         ratio: extra sends allowed for each request, over all hosts.
         slack: extra sends allowed in a window in addition, over all hosts.
         live_hosts: the number of hosts that share the slack.
+        window: the seconds of a window; infinite if the slack never comes back.
     """
     budget.ratio = ratio * SAFETY_FACTOR
+    budget.rate = slack * REFILL_FRACTION / max(1, live_hosts) / window
     budget.resize(divide_slack(slack, live_hosts))
 
 
--- a/src/rattanspoke/platform/_settings.py
+++ b/src/rattanspoke/platform/_settings.py
@@ -31,6 +31,7 @@
             its requests, over all hosts.
         retry_slack: extra sends allowed to a service in each window in addition, over
             all hosts.
+        retry_window: the length of that window in seconds.
         cold_factor: rate that a cold upstream may receive, as a multiple of the rate
             that its service declares for cold upstreams.
         cold_slack: requests a second that it may receive in addition.
@@ -49,6 +50,7 @@
     grace: Seconds
     retry_ratio: float
     retry_slack: float
+    retry_window: Seconds
     cold_factor: float
     cold_slack: float
 
@@ -139,6 +141,7 @@
         grace=Seconds(values.number('bounds.graceS', 6)),
         retry_ratio=values.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=values.number('bounds.budgetExtraRetries', 0),
+        retry_window=Seconds(max(1, values.number('bounds.budgetWindowS', 10))),
         cold_factor=values.number('bounds.warmupFactor', 1),
         cold_slack=values.number('bounds.warmupSlack', 0),
     )
--- a/src/rattanspoke/services/_replica_selection.py
+++ b/src/rattanspoke/services/_replica_selection.py
@@ -355,7 +355,8 @@
                 rule.ratio, rule.slack, live_hosts, starts_full=rule.starts_full
             )
             self._budgets[service] = budget
-        resize_extra_budget(budget, rule.ratio, rule.slack, live_hosts)
+        resize_extra_budget(budget, rule.ratio, rule.slack, live_hosts, rule.window)
+        budget.refill(_now())
         return budget
 
     def _forget_upstream(self, upstream: UpstreamId) -> None:
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from rattanspoke.decisions import (
+    REFILL_FRACTION,
     AnswerWhenEnough,
     ConcurrencyLimit,
     MissingUpstreams,
@@ -28,6 +29,7 @@
     may_hedge,
     merge_records,
     rank_pending,
+    resize_extra_budget,
 )
 from rattanspoke.model import (
     CallerLimits,
@@ -230,6 +232,43 @@
     assert withdrawn <= 0.2 * requests + slack
 
 
+@pytest.mark.parametrize(
+    ('hosts', 'slack', 'rate'), [(4, 52, 90), (28, 182, 56), (78, 430, 50)]
+)
+def test_any_window_stays_within_the_bound(hosts, slack, rate):
+    """Hosts that always send more, and restart twice in a window, keep the limit.
+
+    Load pattern: every request could use extra sends for a minute, and all hosts are
+    killed at 31 s and again at 35 s. The slack that comes back with time is used.
+    """
+    window, ratio = 10, 0.2
+
+    def make(now, *, starts_full):
+        budget = make_extra_budget(ratio, slack, hosts, starts_full=starts_full)
+        resize_extra_budget(budget, ratio, slack, hosts, Seconds(window))
+        budget.refill(Seconds(now))
+        return budget
+
+    budgets = [make(0, starts_full=True) for _ in range(hosts)]
+    extra = []  # extra sends at each request
+    for number in range(rate * 60):
+        now = number / rate
+        if number in {rate * 31, rate * 35}:
+            budgets = [make(now, starts_full=False) for _ in range(hosts)]
+        budget = budgets[number % hosts]
+        budget.refill(Seconds(now))
+        budget.deposit()
+        extra.append(0)
+        while budget.withdraw():
+            extra[-1] += 1
+    span = rate * window
+    most = max(sum(extra[at : at + span]) for at in range(len(extra) - span))
+    assert most <= ratio * span + slack
+    # Each host may hold back less than one token.
+    regained = 2 * (budgets[0].ratio * span + REFILL_FRACTION * slack) - hosts
+    assert sum(extra[rate * 40 :]) >= regained
+
+
 def test_host_that_learns_of_others_keeps_only_its_share():
     """A budget made for one host shrinks to a quarter once four hosts are known."""
     budget = make_extra_budget(0.2, 52, 1)
