--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -16,7 +16,12 @@
 import uvloop
 
 from ._edge import EdgeAdapters, assemble_edge
-from ._listening import DEFAULT_LIMITS, EmbeddedServer, make_bounded_protocol
+from ._listening import (
+    DEFAULT_LIMITS,
+    LINGER,
+    EmbeddedServer,
+    make_bounded_protocol,
+)
 from ._reload import SettingsReload
 from .contracts import (
     FLEET,
@@ -64,7 +69,7 @@
             callers, settings.callers, self._find_caller_limits
         )
         self._probe_server = _make_server(
-            probes, settings.probes, lambda: DEFAULT_LIMITS
+            probes, settings.probes, lambda: DEFAULT_LIMITS, linger=Seconds(0)
         )
         self._stack = AsyncExitStack()
 
@@ -184,7 +189,10 @@
 
 
 def _make_server(
-    application: Application, address: str, find_limits: Callable[[], CallerLimits]
+    application: Application,
+    address: str,
+    find_limits: Callable[[], CallerLimits],
+    linger: Seconds = LINGER,
 ) -> EmbeddedServer:
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
@@ -201,4 +209,4 @@
         date_header=False,
         proxy_headers=False,
     )
-    return EmbeddedServer(config)
+    return EmbeddedServer(config, linger)
--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -111,10 +111,15 @@
 
     It installs no signal handlers, because the process handles signals for all of its
     listeners.
+
+    Args:
+        config: the configuration of uvicorn.
+        linger: seconds for which connections stay open after the listener was closed.
     """
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: uvicorn.Config, linger: Seconds = LINGER) -> None:
         super().__init__(config)
+        self._linger = linger
         self._serve_task: asyncio.Task[None] | None = None
 
     @contextmanager
@@ -127,11 +132,11 @@
         self.should_exit = True
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
-        """Close the listener, and after LINGER the connections as uvicorn does."""
+        """Close the listener, and some time later the connections as uvicorn does."""
         for server in self.servers:
             server.close()
         if self.server_state.connections:
-            await asyncio.sleep(LINGER)
+            await asyncio.sleep(self._linger)
         await super().shutdown(sockets)
 
     async def __aenter__(self) -> Self:
--- a/src/rattanspoke/decisions/_retry_budget.py
+++ b/src/rattanspoke/decisions/_retry_budget.py
@@ -22,14 +22,12 @@
 # Largest balance of all hosts together, as a fraction of the slack.
 SLACK_FRACTION = 0.55
 # What all hosts together regain in a window, as a fraction of the slack.
-REFILL_FRACTION = 0.2
-# Balance of a restarted host, as a fraction of its capacity. Two restarts of every host
-# in one window stay within SAFETY_FACTOR of the slack.
-INITIAL_FRACTION = (
-    (SAFETY_FACTOR - SLACK_FRACTION - REFILL_FRACTION) / 2 / SLACK_FRACTION
-)
-
-
+REFILL_FRACTION = 0.12
+# Largest use of the slack in any window, as a fraction: a full balance, what comes back
+# in the window, and the first balances after two restarts of every host.
+SLACK_LIMIT = 0.95
+# Balance of a restarted host, as a fraction of its capacity: enough for a hedge.
+INITIAL_FRACTION = (SLACK_LIMIT - SLACK_FRACTION - REFILL_FRACTION) / 2 / SLACK_FRACTION
 NEVER = Seconds(math.inf)
 
 
