Close every connection of the tests on endless bytes and crossed replies

Cause: writers that were left open were finalized after their event loop had closed. The traceback of that error was formatted while ast.parse of another test in the same worker was running, which CPython 3.11 reports as SystemError (AST constructor recursion depth mismatch): test_package_imports_only_what_it_may failed once.

--- a/tests/test_crossed_replies.py
+++ b/tests/test_crossed_replies.py
@@ -24,6 +24,7 @@
 from rattanspoke.transports import HttpUpstreamClient
 
 from .edges import SETTLE_SECONDS, Edge, build_route
+from .sockets import end, serving
 
 LIMIT = Seconds(5)
 
@@ -53,10 +54,7 @@
 
     async def serve(reader, writer):
         while True:
-            try:
-                head = await reader.readuntil(b'\r\n\r\n')
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return
+            head = await reader.readuntil(b'\r\n\r\n')
             length = int(head.lower().split(b'content-length:')[1].split()[0])
             call = json.loads(await reader.readexactly(length))['call']
             if call == 'c2':
@@ -64,25 +62,23 @@
             writer.write(write_reply(call, f'for {call}'))
 
     async def scene():
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        record = UpstreamRecord(
-            upstream=UpstreamId('u'),
-            service=ServiceId('s'),
-            zone=ZoneId('z'),
-            address=f'{host}:{port}',
-            slots=1,
-            connections=1,
-        )
-        async with HttpUpstreamClient().open(record) as connection:
-            first = await connection.search('c1', [], LIMIT)
-            assert first.incarnation == 'for c1'
-            with pytest.raises(UpstreamError) as raised:
-                await connection.search('c2', [], LIMIT)
-            assert raised.value.outcome is Outcome.UNKNOWN
-            third = await connection.search('c3', [], LIMIT)
-            assert third.incarnation == 'for c3'
-        server.close()
+        async with serving(serve) as address:
+            record = UpstreamRecord(
+                upstream=UpstreamId('u'),
+                service=ServiceId('s'),
+                zone=ZoneId('z'),
+                address=address,
+                slots=1,
+                connections=1,
+            )
+            async with HttpUpstreamClient().open(record) as connection:
+                first = await connection.search('c1', [], LIMIT)
+                assert first.incarnation == 'for c1'
+                with pytest.raises(UpstreamError) as raised:
+                    await connection.search('c2', [], LIMIT)
+                assert raised.value.outcome is Outcome.UNKNOWN
+                third = await connection.search('c3', [], LIMIT)
+                assert third.incarnation == 'for c3'
 
     asyncio.run(scene())
 
@@ -99,7 +95,7 @@
         reader, writer = await asyncio.open_connection(*address)
         writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         content = await reader.read()
-        writer.close()
+        await end(writer)
         return content
 
     async def scene():
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -32,6 +32,7 @@
 from rattanspoke.services import HostCounters
 from rattanspoke.transports import HttpUpstreamClient
 
+from .sockets import end, serving
 from .test_platform_http import make_request, make_response
 
 LIMIT = Seconds(20)  # for what must end by its size, long before this time
@@ -84,29 +85,16 @@
 
     async def serve(self, reader, writer):
         """Answer one request without end."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.start)
         try:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(self.start)
             while self.sent < MOST_BYTES * 2:
                 writer.write(self.filler)
                 self.sent += len(self.filler)
                 await writer.drain()
                 await asyncio.sleep(self.pause)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except ConnectionError:
             self.closed.set()
-        finally:
-            writer.transport.abort()
-
-
-@asynccontextmanager
-async def serving(script):
-    """Yield the address of a server that runs the script for each connection."""
-    server = await asyncio.start_server(script.serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield f'{host}:{port}'
-    finally:
-        server.close()
 
 
 @endless_responses
@@ -115,7 +103,7 @@
 
     async def scene():
         script = EndlessServer(start, filler)
-        async with serving(script) as address:
+        async with serving(script.serve) as address:
             connection = await HttpUpstreamConnector().open(address, LIMIT)
             async with connection:
                 with pytest.raises(UpstreamError) as raised:
@@ -137,7 +125,7 @@
 
     async def scene():
         script = EndlessServer(start, b'H', pause=0.05)
-        async with serving(script) as address:
+        async with serving(script.serve) as address:
             connection = await HttpUpstreamConnector().open(address, LIMIT)
             async with connection:
                 with pytest.raises(UpstreamError) as raised:
@@ -153,7 +141,7 @@
 
     async def scene():
         script = EndlessServer(make_response(b'right'), FILLER, pause=0.01)
-        async with serving(script) as address:
+        async with serving(script.serve) as address:
             connection = await HttpUpstreamConnector().open(address, LIMIT)
             reply = await connection.exchange(make_request(), UpstreamId('i'), LIMIT)
             assert reply.body == b'right'
@@ -166,15 +154,15 @@
 def test_second_copy_without_an_id_is_not_the_next_answer():
     """A success without the attempt's id is refused where the upstream repeats ids."""
 
-    class Repeating:
-        async def serve(self, reader, writer):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(make_response(b'one', Rattanspoke_Attempt_Id='a-1'))
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(make_response(b'one'))
+    async def repeat(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(make_response(b'one', Rattanspoke_Attempt_Id='a-1'))
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(make_response(b'one'))
+        await reader.read()
 
     async def scene():
-        async with serving(Repeating()) as address:
+        async with serving(repeat) as address:
             connection = await HttpUpstreamConnector().open(address, LIMIT)
             async with connection:
                 await connection.exchange(make_request(), UpstreamId('i'), LIMIT)
@@ -192,7 +180,7 @@
 
     async def scene():
         script = EndlessServer(start, filler)
-        async with serving(script) as address:
+        async with serving(script.serve) as address:
             async with HttpStore(address, HostCounters()) as store:
                 with pytest.raises(PlatformUnavailable):
                     await store.list_kind('zones')
@@ -210,7 +198,7 @@
 
     async def scene():
         script = EndlessServer(start, filler)
-        async with serving(script) as address:
+        async with serving(script.serve) as address:
             record = UpstreamRecord(
                 upstream=UpstreamId('u'),
                 service=ServiceId('s'),
@@ -269,7 +257,7 @@
         pass  # the server has closed the connection
     finally:
         content = await asyncio.wait_for(answer, LIMIT)
-        writer.transport.abort()
+        await end(writer)
     return content, sent
 
 
@@ -323,7 +311,7 @@
                 await asyncio.sleep(0.05)
                 writer.write(b'\r\n')
                 assert b'200' in await reader.readuntil(b'0\r\n\r\n')
-            writer.transport.abort()
+            await end(writer)
 
     asyncio.run(scene())
 
