--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -1,6 +1,7 @@
 """A uvicorn server that is started and stopped by the code that creates it."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -50,7 +51,7 @@
         """Bound the time until the first request begins."""
         super().connection_made(transport)  # type: ignore[arg-type]
         idle_time = self._find_limits().idle_time
-        self.timeout_keep_alive = int(idle_time)
+        self.timeout_keep_alive = math.ceil(idle_time)
         self._deadline = self.loop.call_later(idle_time, self.transport.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
