Find the other hosts while the store does not take a host's entry

Cause: a host looked for the others only after its entry was written. While the store was down, a host that started knew nobody, divided the limits on connections and extra sends by one host, and linked to the seeds only. Seen while reading the diff. Before: test_host_that_starts_without_the_store_counts_the_others counts 1 of 7.

--- a/src/rattanspoke/services/_host_registry.py
+++ b/src/rattanspoke/services/_host_registry.py
@@ -46,17 +46,17 @@
         self._log = structlog.get_logger()
 
     async def __aenter__(self) -> Self:
+        self._tasks.spawn(self._register())
         self._tasks.spawn(self._find_hosts())
         self._tasks.spawn(self._reconcile())
         return self
 
     async def _find_hosts(self) -> None:
-        """Register this host and find the others, from the store or from a seed.
+        """Find the other hosts, from the store or, while it does not answer, a seed.
 
         When the whole system starts, entries read from the store would lack the hosts
         that register at the same moment. All of them contact the seeds, though.
         """
-        await self._register()
         if not self._rules.current.is_first_start:
             await self._find_registered_hosts()
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -80,6 +80,22 @@
     run(scene())
 
 
+def test_host_that_starts_without_the_store_counts_the_others(run):
+    """It divides the limits by the number of all hosts, which a seed tells it."""
+
+    async def scene():
+        async with Edge(hosts=6) as edge:
+            edge.add_service('one')
+            edge.configure(build_route('one'))
+            await asyncio.sleep(SETTLE_SECONDS)
+            edge.store.faults.is_down = True
+            kernel = await edge.start('new', ZONES[0], seeds=['host-0', 'host-1'])
+            await asyncio.sleep(4)
+            assert kernel.find(FLEET).known_host_count == 7
+
+    run(scene())
+
+
 def test_hosts_that_found_only_a_few_others_find_all(run, monkeypatch):
     """Hosts that start together learn of all others, though a slow seed lists few.
 
