Read the store's objects one by one when a page does not decode

Cause: the client of the store decoded a page in one piece. Nesting beyond the decoder's depth raised RecursionError, which is no error of the client's contract, and ended the task that watches the registrations on every host that read it. To convert the error would not have been enough: the event stays in the history, so each further watch from the same revision would have failed as well.

Change: a page that does not decode as a whole is split without decoding into its objects, in linear time and at any depth; each is read by itself. Its content is handed on undecoded, and the codec takes it as unreadable, by name and revision. An object without a readable name is left out, logged and counted.

--- a/src/rattanspoke/contracts/_counting.py
+++ b/src/rattanspoke/contracts/_counting.py
@@ -34,6 +34,7 @@
     CLAIMS_ASKED = 'rattanspoke_claims_asked_total'
     PLATFORM_CALLS = 'rattanspoke_platform_calls_total'
     PLATFORM_FAILURES = 'rattanspoke_platform_failures_total'
+    OBJECTS_UNREADABLE = 'rattanspoke_store_objects_unreadable_total'
     RECORDS_ADOPTED = 'rattanspoke_records_adopted_total'
     PEER_BUNDLES = 'rattanspoke_peer_bundles_total'
     PEER_PARCELS = 'rattanspoke_peer_parcels_total'
--- a/src/rattanspoke/platform/_codec.py
+++ b/src/rattanspoke/platform/_codec.py
@@ -1,6 +1,6 @@
 """JSON codec between the store's objects and the model's types."""
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -32,6 +32,7 @@
     WeightedServices,
     ZoneId,
 )
+from ._json import UnreadableJson, decode_json
 
 DESIRED_STATE_NAME = 'main'
 IDEMPOTENCY_BY_ROUTE_TYPE = {
@@ -232,8 +233,8 @@
     )
 
 
-def _decode(content: bytes, form: type[Form]) -> Any:
+def _decode(content: bytes, form: type[Form]) -> Form:
     try:
-        return msgspec.json.decode(content, type=form)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(content, form)
+    except UnreadableJson as error:
         raise RecordError(f'content: {error}') from error
--- a/src/rattanspoke/platform/_store.py
+++ b/src/rattanspoke/platform/_store.py
@@ -1,11 +1,12 @@
 """Client of the platform's object store over HTTP."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import TracebackType
-from typing import Any, Self, TypeVar
+from typing import Any, Self
 from urllib.parse import quote, urlencode
 
 import msgspec
+import structlog
 
 from ..contracts import Counters, Metric, ObjectList
 from ..model import (
@@ -27,6 +28,8 @@
     HttpResponse,
     open_http_connection,
 )
+from ._json import UnreadableJson
+from ._pages import StorePage, decode_events, decode_listing, decode_object
 from ._words import OBJECTS_PATH
 
 CALL_TIMEOUT = Seconds(1)  # for a call, in addition to the wait of a long poll
@@ -53,34 +56,6 @@
     StateKind.EVACUATIONS.value: 'evacuations',
 }
 
-Form = TypeVar('Form')
-
-
-class _MetaForm(msgspec.Struct, rename='camel'):
-    name: str
-    revision: int
-
-
-class _ObjectForm(msgspec.Struct):
-    meta: _MetaForm
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _PageForm(msgspec.Struct, rename='camel'):
-    items: list[_ObjectForm]
-    as_of: int
-    more: bool = False
-
-
-class _EventForm(msgspec.Struct):
-    object: _ObjectForm
-    deleted: bool = False
-
-
-class _EventsForm(msgspec.Struct, rename='camel'):
-    events: list[_EventForm]
-    as_of: int
-
 
 class HttpStore:
     """Client of the store.
@@ -97,6 +72,7 @@
         self._address = address.removeprefix('http://')
         self._counters = counters
         self._idle: list[HttpClientConnection] = []
+        self._log = structlog.get_logger()
 
     async def list_kind(self, kind: str, *, may_be_stale: bool = False) -> ObjectList:
         """Return every object of a kind.
@@ -111,18 +87,20 @@
         """
         found: list[StoredObject] = []
         query: dict[str, object] = {STALE_ALLOWED: 1} if may_be_stale else {}
-        path = _make_path(kind, query=query)
         as_of: Revision | None = None
         while True:
-            page = _decode(await self._read('list', path), _PageForm)
-            found += [_read_object(kind, each) for each in page.items]
+            content = await self._read('list', _make_path(kind, query=query))
+            page = self._decode_page(decode_listing, kind, content)
+            found += page.objects
             # Later pages may be of a newer revision. A watch that starts after the
             # revision of the first page receives the changes in between again.
-            as_of = Revision(page.as_of) if as_of is None else as_of
-            if not page.more or not page.items:
+            as_of = page.revision if as_of is None else as_of
+            if not page.has_more:
                 return _filter(kind, ObjectList(as_of, tuple(found)))
-            query['after'] = page.items[-1].meta.name
-            path = _make_path(kind, query=query)
+            last = page.objects[-1].name if page.objects else None
+            if last in {None, query.get('after')}:
+                raise PlatformUnavailable(f'list {kind}: no name to continue after')
+            query['after'] = last
 
     async def watch_kind(self, kind: str, after: Revision, wait: Seconds) -> ObjectList:
         """Return the changes of a kind after a revision, by a long poll.
@@ -139,12 +117,9 @@
         """
         query = {'watch': after, 'waitMs': round(wait * MS_PER_SECOND)}
         path = _make_path(kind, query=query)
-        page = _decode(await self._read('watch', path, wait), _EventsForm)
-        changes = [
-            _read_object(kind, event.object, is_deleted=event.deleted)
-            for event in page.events
-        ]
-        return _filter(kind, ObjectList(Revision(page.as_of), tuple(changes)))
+        content = await self._read('watch', path, wait)
+        page = self._decode_page(decode_events, kind, content)
+        return _filter(kind, ObjectList(page.revision, page.objects))
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, None when it does not exist.
@@ -155,7 +130,12 @@
         content = await self._read(
             'read', _make_path(kind, name), default_if_missing=b''
         )
-        return _read_object(kind, _decode(content, _ObjectForm)) if content else None
+        if not content:
+            return None
+        try:
+            return decode_object(kind, content)
+        except UnreadableJson as error:
+            raise PlatformUnavailable(f'read {kind} {name}: {error}') from error
 
     async def write(
         self, kind: str, name: str, content: bytes, expected: Revision
@@ -181,8 +161,8 @@
             body = {'meta': {'name': name, 'revision': expected}, 'spec': spec}
             stored = await self._change('PUT', _make_path(kind, name), body)
         try:
-            return Revision(_decode(stored, _ObjectForm).meta.revision)
-        except PlatformUnavailable as error:
+            return decode_object(kind, stored).revision
+        except UnreadableJson as error:
             raise PlatformReplyLost(f'write {kind} {name}: {error}') from error
 
     async def delete(self, kind: str, name: str, expected: Revision) -> None:
@@ -201,6 +181,28 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _decode_page(
+        self,
+        decode: Callable[[str, bytes], StorePage],
+        kind: str,
+        content: bytes,
+    ) -> StorePage:
+        """Decode a page, and log the objects that are left out of it.
+
+        Raises:
+            PlatformUnavailable: when the page is not readable.
+        """
+        try:
+            page = decode(kind, content)
+        except UnreadableJson as error:
+            raise PlatformUnavailable(
+                f'the reply of the store does not decode: {error}'
+            ) from error
+        for reason in page.failures:
+            self._counters.add(Metric.OBJECTS_UNREADABLE, kind)
+            self._log.warning('object has no readable name', kind=kind, reason=reason)
+        return page
+
     async def _read(
         self,
         label: str,
@@ -297,23 +299,3 @@
     if kind == StateKind.DESIRED_STATE.value:
         return select_desired_state(listing)
     return listing
-
-
-def _read_object(
-    kind: str, form: _ObjectForm, *, is_deleted: bool = False
-) -> StoredObject:
-    return StoredObject(
-        kind=kind,
-        name=form.meta.name,
-        revision=Revision(form.meta.revision),
-        content=None if is_deleted else bytes(form.spec),
-    )
-
-
-def _decode(content: bytes, form: type[Form]) -> Form:
-    try:
-        return msgspec.json.decode(content, type=form)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise PlatformUnavailable(
-            f'the reply of the store does not decode: {error}'
-        ) from error
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -37,7 +37,7 @@
     UpstreamReply,
     ZoneId,
 )
-from rattanspoke.platform import JsonStateCodec
+from rattanspoke.platform import HttpStore, JsonStateCodec
 from rattanspoke.services import HostCounters, HostTimeline
 from rattanspoke.standins import LocalNetwork, LocalTransport, StandinPlatform
 
@@ -263,16 +263,19 @@
         retry_budget: limit on extra sends that the hosts are started with.
         regions: the region of each availability zone.
         is_first_start: whether the hosts know that all of them start together.
+        store_address: address of an HTTP server of the store, which the hosts then
+            call instead of the fake.
     """
 
     hosts: int = 3
     retry_budget: RetryBudgetRule = RetryBudgetRule(0.2, 52)
     regions: dict[ZoneId, str] = field(default_factory=dict)
     is_first_start: bool = False
+    store_address: str = ''
     store: StandinPlatform = field(default_factory=StandinPlatform)
     network: LocalNetwork = field(default_factory=LocalNetwork)
     kernels: dict[HostId, Kernel] = field(default_factory=dict)
-    stores: dict[HostId, PartitionableStore] = field(default_factory=dict)
+    stores: dict[HostId, PartitionableStore | HttpStore] = field(default_factory=dict)
     upstreams: dict[str, FakeUpstream] = field(default_factory=dict)
     by_service: dict[str, list[FakeUpstream]] = field(
         default_factory=lambda: defaultdict(list)
@@ -306,10 +309,15 @@
         """
         host, zone = HostId(host), ZoneId(zone)
         identity = Identity(host, Incarnation(f'{host}/{len(self.kernels)}'), zone)
-        self.stores[host] = PartitionableStore(self.store)
+        counters = HostCounters()
+        self.stores[host] = (
+            HttpStore(self.store_address, counters)
+            if self.store_address
+            else PartitionableStore(self.store)
+        )
         transport = LocalTransport(self.network, host)
         adapters = EdgeAdapters(
-            counters=HostCounters(),
+            counters=counters,
             store=self.stores[host],
             codec=JsonStateCodec(),
             upstream_connector=FakeConnector(self.upstreams),
