--- a/src/rattanspoke/peering/_wire.py
+++ b/src/rattanspoke/peering/_wire.py
@@ -55,7 +55,7 @@
             for parcel in encoded_bundle.parcels
             if parcel.kind < len(_DECODERS)
         )
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise PeerError(Reason.PEER_LOST, Outcome.UNKNOWN, str(error)) from error
     return Bundle(
         HostId(encoded_bundle.sender),
--- a/src/rattanspoke/platform/__init__.py
+++ b/src/rattanspoke/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from ._codec import JsonStateCodec
 from ._front import Application, make_caller_app, make_probe_app
+from ._json import UnreadableJson, decode_json
 from ._settings import SETTINGS_VARIABLE, HostSettings, load_host_settings
 from ._store import HttpStore
 from ._upstreams import HttpUpstreamConnector
@@ -15,6 +16,8 @@
     'HttpStore',
     'HttpUpstreamConnector',
     'JsonStateCodec',
+    'UnreadableJson',
+    'decode_json',
     'load_host_settings',
     'make_caller_app',
     'make_probe_app',
--- a/src/rattanspoke/transports/_front.py
+++ b/src/rattanspoke/transports/_front.py
@@ -37,6 +37,7 @@
     ServiceId,
 )
 from ..observability import render_metrics
+from ..platform import UnreadableJson, decode_json
 from ._status import describe_status, describe_timeline
 
 MAX_DEADLINE = Seconds(30)
@@ -288,8 +289,8 @@
 
 def _decode(body: bytes, form: type[Result]) -> Result:
     try:
-        return msgspec.json.decode(body, type=form)
-    except (msgspec.DecodeError, ClientException) as error:
+        return decode_json(body, form)
+    except (UnreadableJson, ClientException) as error:
         raise RequestError(Reason.BAD_REQUEST, Outcome.NOT_RUN, str(error)) from error
 
 
--- a/src/rattanspoke/transports/_records.py
+++ b/src/rattanspoke/transports/_records.py
@@ -29,6 +29,7 @@
     UpstreamRecord,
     ZoneRecord,
 )
+from ..platform import UnreadableJson, decode_json
 
 JsonObject = dict[str, Any]
 
@@ -83,8 +84,8 @@
             RecordError: when the content does not hold claims.
         """
         try:
-            return msgspec.json.decode(content, type=dict[str, ClaimEntry])
-        except msgspec.DecodeError as error:
+            return decode_json(content, dict[str, ClaimEntry])
+        except UnreadableJson as error:
             raise RecordError(str(error)) from error
 
     def encode_claims(self, claims: dict[str, ClaimEntry]) -> bytes:
@@ -138,8 +139,8 @@
 
 def _parse(content: bytes) -> JsonObject:
     try:
-        return msgspec.json.decode(content, type=dict[str, Any])
-    except msgspec.DecodeError as error:
+        return decode_json(content, dict[str, Any])
+    except UnreadableJson as error:
         raise RecordError(f'content: {error}') from error
 
 
--- a/src/rattanspoke/transports/_upstreams.py
+++ b/src/rattanspoke/transports/_upstreams.py
@@ -24,6 +24,7 @@
     UpstreamError,
     UpstreamRecord,
 )
+from ..platform import UnreadableJson, decode_json
 
 IDENTIFY_TIMEOUT = Seconds(1)
 MAX_REPLY_BYTES = 4 * 1024 * 1024  # an upstream in trouble may send without end
@@ -326,8 +327,8 @@
 
 def _decode(content: bytes, reply_type: type[ReplyType]) -> ReplyType:
     try:
-        return msgspec.json.decode(content, type=reply_type)
-    except msgspec.DecodeError as error:
+        return decode_json(content, reply_type)
+    except UnreadableJson as error:
         raise _make_error(Reason.UPSTREAM_FAILED, Outcome.UNKNOWN) from error
 
 
