Take a registration with an impossible address or name for none

A name with a line break would have added a header to each request sent there; one outside latin-1 ended the task as well.

Change: the codec accepts a host name or IPv4 address with a port of 1 to 65535, and a name that can stand in a header; opening a connection reports any other address as unreachable.

--- a/src/rattanspoke/platform/_codec.py
+++ b/src/rattanspoke/platform/_codec.py
@@ -1,5 +1,6 @@
 """JSON codec between the store's objects and the model's types."""
 
+import re
 from typing import TypeVar
 
 import msgspec
@@ -43,6 +44,12 @@
     'ready': RegistrationState.READY,
     'draining': RegistrationState.DRAINING,
 }
+# A host name or an IPv4 address, and a port.
+ADDRESS = re.compile(
+    '[A-Za-z0-9_-]{1,63}([.][A-Za-z0-9_-]{1,63})*:(?P<port>[0-9]{1,5})'
+)
+MAX_PORT = 65535
+HEADER_VALUE = re.compile('[!-~]{1,256}')  # printable ASCII without spaces
 
 Form = TypeVar('Form')
 
@@ -218,9 +225,10 @@
 def _read_registration(upstream: UpstreamId, form: _RegistrationForm) -> Registration:
     if form.state not in REGISTRATION_STATES:
         raise RecordError(f'state: {form.state!r} is not a state')
-    host, _, port = form.address.rpartition(':')
-    if not host or not port.isdigit():
+    if not _is_address(form.address):
         raise RecordError(f'address: {form.address!r} is not host:port')
+    if HEADER_VALUE.fullmatch(upstream) is None:
+        raise RecordError(f'name: {upstream!r} cannot be sent in a header')
     return Registration(
         upstream=upstream,
         started=form.born,
@@ -233,6 +241,11 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    match = ADDRESS.fullmatch(address)
+    return match is not None and 0 < int(match['port']) <= MAX_PORT
+
+
 def _decode(content: bytes, form: type[Form]) -> Form:
     try:
         return decode_json(content, form)
--- a/src/rattanspoke/platform/_http.py
+++ b/src/rattanspoke/platform/_http.py
@@ -278,10 +278,13 @@
     """
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(limit):
-        _, connection = await loop.create_connection(
-            HttpClientConnection, host, int(port)
-        )
+    try:
+        async with asyncio.timeout(limit):
+            _, connection = await loop.create_connection(
+                HttpClientConnection, host, int(port)
+            )
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'{address!r} is not an address') from error
     return connection
 
 
