Require every field of an upstream's entry that the platform promises

Cause: these fields had defaults or were not looked at.

Shown by test_decoders: the four cases of these fields failed before.

--- a/src/rattanspoke/platform/_codec.py
+++ b/src/rattanspoke/platform/_codec.py
@@ -104,17 +104,20 @@
 class _RegistrationForm(_CamelCaseForm):
     """An upstream's entry.
 
-    `born` is the start of the incarnation in Unix milliseconds. In an entry without it,
-    only the name identifies the incarnation, and a restart does not show. The stored
-    entry also has a field `version`, that of the upstream's software, which is ignored.
+    An entry that lacks one of the fields without a default was not written by an
+    upstream. `born` is the start of the incarnation in Unix milliseconds. In an entry
+    without it, only the name identifies the incarnation, and a restart does not show.
+    `version` is that of the upstream's software.
     """
 
     service: str
     address: str
     zone: str
+    version: str
     state: str
-    slots: int = 1
-    warmup_left_ms: float = 0
+    slots: int
+    warmup_left_ms: float
+    sequence: int
     born: int = 0
 
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -19,6 +19,16 @@
 from rattanspoke.platform import HttpUpstreamConnector, JsonStateCodec
 from rattanspoke.transports import RecordCodec
 
+REGISTRATION = {
+    'service': 'one',
+    'address': '127.0.0.1:80',
+    'zone': 'east',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'sequence': 1,
+}
 DEEP = b'[' * 100_000 + b']' * 100_000
 
 
@@ -52,18 +62,7 @@
 
 def make_registration(name, **changes):
     """Return the stored registration of an upstream."""
-    form = {
-        'service': 'one',
-        'address': '127.0.0.1:80',
-        'zone': 'east',
-        'version': 'v1',
-        'slots': 4,
-        'state': 'ready',
-        'warmupLeftMs': 0,
-        'sequence': 1,
-        'born': 1,
-    }
-    content = msgspec.json.encode(form | changes)
+    content = msgspec.json.encode(REGISTRATION | changes)
     kind = StateKind.REGISTRATIONS.value
     return StoredObject(kind=kind, name=name, revision=Revision(3), content=content)
 
@@ -99,6 +98,16 @@
         JsonStateCodec().decode_state(StateKind.REGISTRATIONS, make_registration(name))
 
 
+@pytest.mark.parametrize('field', sorted(REGISTRATION))
+def test_registration_that_lacks_a_field_names_no_upstream(field):
+    """An entry of another writer was once used if it had an address and a service."""
+    form = {name: value for name, value in REGISTRATION.items() if name != field}
+    content = msgspec.json.encode(form)
+    kind = StateKind.REGISTRATIONS
+    with pytest.raises(RecordError):
+        JsonStateCodec().decode_state(kind, make_object(kind.value, content))
+
+
 def test_readable_registration_is_read():
     """A complete registration names an upstream."""
     stored = make_registration('i-7f3a91c2', address='one-0.east.example:80')
