Relay no reply without the upstream's seal

Cause: ServiceRequest took such a reply for no success, but kept it as the upstream's failure, which is relayed with its own status. The same path relayed an unsealed 404 as if it were the upstream's, and an unsealed 503 without the header that proves it was not run.

Change: a reply without a seal that does not prove that the request was not run is treated like one that broke off: its outcome is unknown, it is retried if that is allowed, and the caller gets 502 otherwise.

Shown by test_edge: test_reply_without_a_seal_is_not_relayed failed before for each of 200, 301, 404 and 500.

--- a/src/rattanspoke/services/_service_request.py
+++ b/src/rattanspoke/services/_service_request.py
@@ -220,16 +220,24 @@
         match attempt.result():
             case UpstreamError(outcome=outcome, reason=reason):
                 self._note_failed_attempt(upstream, outcome, reason)
-                return None
             case UpstreamReply(is_success=True) as reply:
                 return reply
+            case UpstreamReply(outcome=Outcome.NOT_RUN):
+                self._note_failed_attempt(
+                    upstream, Outcome.NOT_RUN, Reason.UPSTREAM_SHED
+                )
+            case UpstreamReply(seal=None):
+                # Nothing proves that the upstream itself sent this reply, so it is
+                # treated like one that broke off.
+                self._note_failed_attempt(
+                    upstream, Outcome.UNKNOWN, Reason.REPLY_BROKEN
+                )
             case reply:
-                reason = Reason.UPSTREAM_SHED
-                if reply.outcome is Outcome.RAN:
-                    self._failed_reply = reply
-                    reason = Reason.UPSTREAM_FAILED
-                self._note_failed_attempt(upstream, reply.outcome, reason)
-                return None
+                self._failed_reply = reply
+                self._note_failed_attempt(
+                    upstream, reply.outcome, Reason.UPSTREAM_FAILED
+                )
+        return None
 
     def _note_failed_attempt(
         self, upstream: UpstreamId, outcome: Outcome, reason: Reason
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -60,6 +60,8 @@
         is_down: whether it refuses connections.
         sheds: whether it rejects every request as not run, with status 503.
         fails: whether it replies to every request with status 500.
+        status: status of every reply, unless it fails or sheds.
+        is_sealed: whether its replies have a seal.
         breaks: whether it breaks off every reply.
         crash_on: target of the requests that crash it.
         crashes: times of its crashes, on the loop's clock.
@@ -82,6 +84,8 @@
     is_down: bool = False
     sheds: bool = False
     fails: bool = False
+    status: int = 200
+    is_sealed: bool = True
     breaks: bool = False
     crash_on: str | None = None
     crashes: list[float] = field(default_factory=list)
@@ -154,7 +158,7 @@
         if fake.breaks or not is_complete:
             self._is_usable = False
             raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
-        return self._reply(500 if fake.fails else 200, Outcome.RAN)
+        return self._reply(500 if fake.fails else fake.status, Outcome.RAN)
 
     def abort(self) -> None:
         """Close the connection at once, including any exchange in flight."""
@@ -198,7 +202,7 @@
             headers=(),
             body=fake.body,
             outcome=outcome,
-            seal=Seal(f'{fake.name}.{len(fake.arrivals)}'),
+            seal=Seal(f'{fake.name}.{len(fake.arrivals)}') if fake.is_sealed else None,
         )
 
     async def __aenter__(self) -> Self:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -172,6 +172,41 @@
     run(scene())
 
 
+@pytest.mark.parametrize('status', [200, 301, 404, 500])
+def test_reply_without_a_seal_is_not_relayed(run, status):
+    """It is not known whose reply it is; the request may have run.
+
+    A success without a seal was once relayed as if it were a failure of the upstream.
+    """
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', status=status, is_sealed=False)
+            edge.configure(build_route('one', routeType='non_idempotent'))
+            await asyncio.sleep(SETTLE_SECONDS)
+            answer = await edge.ask('host-0', method='POST')
+            assert answer == Failed(Reason.REPLY_BROKEN)
+            assert sum(len(each.arrivals) for each in edge.by_service['one']) == 1
+
+    run(scene())
+
+
+def test_reply_without_a_seal_is_retried_if_idempotent(run):
+    """The sealed reply of another upstream is relayed instead."""
+
+    async def scene():
+        async with Edge(hosts=1) as edge:
+            edge.add_service('one', is_sealed=False)
+            edge.by_service['one'][2].is_sealed = True
+            edge.configure(build_route('one', maxAttempts=3))
+            await asyncio.sleep(SETTLE_SECONDS)
+            for _ in range(6):
+                answer = await edge.ask('host-0')
+                assert answer.reply.upstream == 'one-2'
+
+    run(scene())
+
+
 def test_shed_non_idempotent_request_is_retried(run):
     """A request that an upstream certainly did not run is sent to another upstream.
 
