Compare the attempt id before a response to HEAD is complete

Cause: the response to a request without a body was complete as soon as a final head had been read; the attempt id was compared only at the end of a message. On the same path, a refusal without an id was believed on a connection whose upstream repeats ids, though it may be a copy as well, and a request that must not run twice was sent again.

Change: a head with another attempt id is dropped with its body, whatever the method. After a reply with an id, one without it proves nothing, whatever its status; until now that held for successes only.

Shown by test_platform_http: three cases failed before.

--- a/src/rattanspoke/platform/_http.py
+++ b/src/rattanspoke/platform/_http.py
@@ -100,7 +100,7 @@
             return
         self.status = self.parser.get_status_code()
         self._has_head = self.status >= FIRST_FINAL_STATUS
-        if not self._has_body and self.status >= FIRST_FINAL_STATUS:
+        if not self._has_body and self._has_head and not self._is_late():
             self.is_complete = True
             self.must_close = True
             return
--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -33,7 +33,6 @@
     SERVER_SEAL_HEADER,
 )
 
-SUCCESS_STATUSES = range(200, 300)
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
 
@@ -128,14 +127,14 @@
         self._connection.close()
 
     def _check_echo(self, response: HttpResponse) -> None:
-        """Reject a success that may be a second copy of an earlier reply.
+        """Reject a reply that may be a second copy of an earlier one.
 
         A copy without the attempt's id cannot be told apart by that id, but an upstream
         that has repeated the id on this connection does so in each reply of its own.
         """
         if response.find_header(ATTEMPT_ID_HEADER) is not None:
             self._has_echoed = True
-        elif self._has_echoed and response.status in SUCCESS_STATUSES:
+        elif self._has_echoed:
             self._connection.abort()
             raise UpstreamError(Reason.REPLY_BROKEN, Outcome.UNKNOWN)
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -280,6 +280,42 @@
     asyncio.run(scene())
 
 
+def test_late_response_is_not_the_one_to_a_head_request():
+    """The second copy of an earlier response, with its body, is dropped.
+
+    A response to HEAD was once taken to be complete before its attempt id was read.
+    """
+
+    async def scene():
+        first = make_response(b'one', Rattanspoke_Attempt_Id='a-0')
+        own = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nRattanspoke-Attempt-Id: a-1\r\n'
+        async with ScriptedServer(first, first + own + b'\r\n') as script:
+            outcomes = await exchange(
+                script, make_request(attempt='a-0'), make_request('HEAD')
+            )
+            reply, is_reusable, _ = outcomes[1]
+            assert (b'rattanspoke-attempt-id', b'a-1') in reply.headers
+            assert not is_reusable
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+def test_response_without_id_after_one_with_it_proves_nothing(method):
+    """A refusal that lost its attempt id may be a copy of one to another request."""
+
+    async def scene():
+        first = make_response(Rattanspoke_Attempt_Id='a-0')
+        refusal = make_response(status='503 Full', Rattanspoke_Not_Executed='1')
+        async with ScriptedServer(first, refusal) as script:
+            outcomes = await exchange(
+                script, make_request(attempt='a-0'), make_request(method)
+            )
+            assert outcomes[1].outcome is Outcome.UNKNOWN
+
+    asyncio.run(scene())
+
+
 def test_extra_bytes_make_the_connection_unusable():
     """Bytes after a complete response could be taken for the next one.
 
