Recognise the response to an attempt id outside ASCII

The id was read as latin-1 and compared as UTF-8, so a response with the caller's own bytes was taken for a late one and the request ran into its deadline. test_attempt_id_outside_ascii_is_recognised failed before.

--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -97,7 +97,7 @@
         if not self._connection.is_reusable:
             raise UpstreamError(Reason.UPSTREAM_UNREACHABLE, Outcome.NOT_RUN)
         head = _write_head(request, upstream, budget)
-        expected_header = ATTEMPT_ID_HEADER, request.attempt.encode()
+        expected_header = ATTEMPT_ID_HEADER, request.attempt.encode('latin-1')
         response = HttpResponse(expected_header, has_body=request.method != 'HEAD')
         try:
             await self._connection.exchange((head, request.body), response, budget)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -27,6 +27,7 @@
 LIMIT = Seconds(5)  # for calls that succeed well within it
 SHORT = Seconds(0.05)  # for calls that are meant to time out
 UPSTREAM = UpstreamId('i-1')
+ID_HEADER = b'\r\nRattanspoke-Attempt-Id: a-\xe9'
 
 
 class ScriptedServer:
@@ -316,6 +317,18 @@
     asyncio.run(scene())
 
 
+def test_attempt_id_outside_ascii_is_recognised():
+    """The id is compared byte by byte as the caller sent it."""
+
+    async def scene():
+        sent = make_response(b'right').replace(b'\r\n\r\n', ID_HEADER + b'\r\n\r\n', 1)
+        async with ScriptedServer(sent) as script:
+            [(reply, _, _)] = await exchange(script, make_request(attempt='a-\xe9'))
+            assert reply.body == b'right'
+
+    asyncio.run(scene())
+
+
 def test_extra_bytes_make_the_connection_unusable():
     """Bytes after a complete response could be taken for the next one.
 
