Serve a request that offers another protocol with its own body

Cause: the parser stops at the head of such a request and leaves its body to the other protocol. uvicorn's protocol served the request as if it had none, and fed the body to the same parser as the next request.

Change: uvicorn's hooks for a change of protocol are used to ignore the offer: the head is parsed again without it, followed by the bytes behind it. CONNECT, which stops the parser as well, is rejected.

--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -3,12 +3,14 @@
 import asyncio
 import math
 import socket
+import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from functools import partial
 from types import TracebackType
 from typing import Any, Self
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -24,6 +26,8 @@
 # Time after the listener was closed in which connections without a request stay open.
 # What a client had sent by then is read and answered; closing would reset it unread.
 LINGER = Seconds(0.3)
+# Headers that belong to an offer to change the protocol.
+OFFER_HEADERS = frozenset((b'upgrade', b'http2-settings'))
 TOO_LARGE = b'431 Request Header Fields Too Large'
 TOO_SLOW = b'408 Request Timeout'
 
@@ -35,6 +39,10 @@
     hold memory and a descriptor for as long as it likes. A request that ends so has not
     been passed on, and the status that the client gets says so.
 
+    An offer to change the protocol is ignored, and the request served as it is. The
+    parser stops at the head of such a request, so the head is parsed again without the
+    offer, and its body after it.
+
     Args:
         find_limits: returns the limits in force.
         options: the arguments of uvicorn's protocol.
@@ -46,6 +54,8 @@
         self._head_bytes = 0
         self._has_head = True  # of the newest request
         self._deadline: asyncio.TimerHandle | None = None
+        self._received = b''  # bytes that the parser is being fed
+        self._unparsed = b''  # bytes to feed it next
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound the time until the first request begins."""
@@ -71,9 +81,26 @@
         self._has_head = True
         super().on_headers_complete()
 
+    def handle_websocket_upgrade(self) -> None:
+        """Ignore an offer to change the protocol.
+
+        Called by uvicorn's protocol where the parser has stopped. `CONNECT` stops it
+        as well, and asks for a tunnel that does not exist.
+        """
+        stop = sys.exception()
+        if self.parser.get_method() == b'CONNECT' or stop is None:
+            self.send_400_response('Tunnels are not supported.')
+            return
+        self._unparsed = self._write_head() + self._received[stop.args[0] :]
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; end the connection if the head exceeds a limit."""
-        super().data_received(data)
+        self._unparsed = data
+        while self._unparsed:
+            self._received, self._unparsed = self._unparsed, b''
+            super().data_received(self._received)
         if self._has_head:
             self._cancel_deadline()
             return
@@ -86,6 +113,23 @@
                 limits.header_time, self._reject, TOO_SLOW
             )
 
+    def _should_upgrade(self) -> bool:
+        """Make uvicorn's protocol leave requests that offer one to the method above."""
+        return True
+
+    def _write_head(self) -> bytes:
+        """Return the head of the newest request without its offer of a protocol."""
+        version = self.parser.get_http_version().encode()
+        lines = [b'%b %b HTTP/%b' % (self.parser.get_method(), self.url, version)]
+        for name, value in self.headers:
+            if name == b'connection':
+                options = (each.strip() for each in value.split(b','))
+                kept = [each for each in options if each.lower() not in OFFER_HEADERS]
+                lines.append(b'%b: %b' % (name, b', '.join(kept)))
+            elif name not in OFFER_HEADERS:
+                lines.append(b'%b: %b' % (name, value))
+        return b'\r\n'.join((*lines, b'', b''))
+
     def _reject(self, status: bytes) -> None:
         """Answer that the request was not run, unless an answer is still being sent."""
         self._cancel_deadline()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,10 @@
 import asyncio
 from contextlib import asynccontextmanager, suppress
 
+import uvicorn
+
+from rattanspoke._listening import EmbeddedServer, make_bounded_protocol
+
 
 @asynccontextmanager
 async def serving(handle):
@@ -38,3 +42,25 @@
     writer.transport.abort()
     with suppress(ConnectionError):
         await writer.wait_closed()
+
+
+@asynccontextmanager
+async def listening(application, limits):
+    """Yield the host and port of a server of an ASGI application.
+
+    Args:
+        limits: what a caller may send, and how long it may take.
+    """
+    config = uvicorn.Config(
+        application,
+        host='127.0.0.1',
+        port=0,
+        http=make_bounded_protocol(lambda: limits),
+        interface='asgi3',
+        lifespan='off',
+        log_config=None,
+    )
+    async with EmbeddedServer(config) as server:
+        while not server.started:
+            await asyncio.sleep(0.01)
+        yield server.servers[0].sockets[0].getsockname()
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -6,13 +6,10 @@
 
 import asyncio
 import socket
-from contextlib import asynccontextmanager
 
 import httpx
 import pytest
-import uvicorn
 
-from rattanspoke._listening import EmbeddedServer, make_bounded_protocol
 from rattanspoke.model import (
     CallerLimits,
     Outcome,
@@ -32,7 +29,7 @@
 from rattanspoke.services import HostCounters
 from rattanspoke.transports import HttpUpstreamClient
 
-from .sockets import end, serving
+from .sockets import end, listening, serving
 from .test_platform_http import make_request, make_response
 
 LIMIT = Seconds(20)  # for what must end by its size, long before this time
@@ -218,27 +215,10 @@
     asyncio.run(scene())
 
 
-@asynccontextmanager
-async def listening():
-    """Yield the address of a server of an application that answers all requests."""
-
-    async def answer(scope, receive, send):
-        await send({'type': 'http.response.start', 'status': 200, 'headers': []})
-        await send({'type': 'http.response.body', 'body': b'fine'})
-
-    config = uvicorn.Config(
-        answer,
-        host='127.0.0.1',
-        port=0,
-        http=make_bounded_protocol(lambda: LIMITS),
-        lifespan='off',
-        log_config=None,
-    )
-    async with EmbeddedServer(config) as server:
-        while not server.started:
-            await asyncio.sleep(0.01)
-        host, port = server.servers[0].sockets[0].getsockname()
-        yield host, port
+async def answer_all(scope, receive, send):
+    """Answer every request without reading its body."""
+    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+    await send({'type': 'http.response.body', 'body': b'fine'})
 
 
 async def send_until_closed(address, start, filler, pause=0):
@@ -287,7 +267,10 @@
     """The caller is told that nothing ran, and other callers are served meanwhile."""
 
     async def scene():
-        async with listening() as address, httpx.AsyncClient() as client:
+        async with (
+            listening(answer_all, LIMITS) as address,
+            httpx.AsyncClient() as client,
+        ):
             sending = asyncio.ensure_future(
                 send_until_closed(address, start, filler, pause)
             )
@@ -304,7 +287,7 @@
     """The time and size of a head are counted for each request alone."""
 
     async def scene():
-        async with listening() as address:
+        async with listening(answer_all, LIMITS) as address:
             reader, writer = await asyncio.open_connection(*address)
             for _ in range(6):
                 writer.write(b'GET / HTTP/1.1\r\nHost: a\r\nX: %b\r\n' % (b'x' * 9000))
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,7 +1,7 @@
 """Answers to callers and to the load balancer, as ASGI messages."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -32,6 +32,8 @@
 from rattanspoke.platform import make_caller_app, make_probe_app
 from rattanspoke.services import HostCounters, HostLifecycle, HostReadiness
 
+from .sockets import end, listening
+
 LIMITS = CallerLimits(
     header_bytes=500, body_bytes=10, header_time=Seconds(3), idle_time=Seconds(15)
 )
@@ -261,3 +263,92 @@
     kernel.find(LIFECYCLE).leave()
     assert call(app, path=b'/-/readiness')[0] == 503
     assert call(app, path=b'/metrics')[2] == b'metrics'
+
+
+OFFER = (
+    b'Connection: Upgrade, HTTP2-Settings\r\n'
+    b'Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\n'
+)
+
+
+def write_request(target, body=b'', headers=b'', method=b'POST'):
+    """Return the bytes of a request with a Content-Length."""
+    return b'%b %b HTTP/1.1\r\nHost: a.example\r\n%bContent-Length: %d\r\n\r\n%b' % (
+        method,
+        target,
+        headers,
+        len(body),
+        body,
+    )
+
+
+def send_bytes(kernel, *pieces, answers=1):
+    """Send pieces of bytes on one connection; return the statuses of the answers.
+
+    Args:
+        answers: number of answers after which to stop reading.
+    """
+
+    state = kernel.find(SHARED_STATE)
+    limits = replace(LIMITS, body_bytes=1000)
+    state.desired = replace(state.desired, limits=limits)
+
+    async def scene():
+        async with listening(make_caller_app(kernel), limits) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0.02)  # so that it arrives separately
+            content = b''
+            async with asyncio.timeout(10):
+                while content.count(b'HTTP/1.1 ') < answers:
+                    content += await reader.read(4096)
+            await end(writer)
+            return [int(each[:3]) for each in content.split(b'HTTP/1.1 ')[1:]]
+
+    return asyncio.run(scene())
+
+
+@pytest.mark.parametrize('is_split', [False, True])
+def test_offer_of_another_protocol_leaves_the_body_alone(kernel, handler, is_split):
+    """The request is served as it is, and its body is not run as a request.
+
+    The parser stops at the head of such a request. Its body was once lost, and parsed
+    as the next request on the connection.
+    """
+    handler.answer = Refused(Reason.OVERLOADED, Seconds(1))
+    inner = b'GET /inside HTTP/1.1\r\nHost: a.example\r\n\r\n'
+    offering = write_request(b'/one/1', inner, OFFER)
+    pieces = [offering[: -len(inner)], inner] if is_split else [offering]
+    statuses = send_bytes(
+        kernel, *pieces, offering + write_request(b'/one/2', inner), answers=3
+    )
+    assert statuses == [503] * 3
+    assert [each.body for each in handler.requests] == [inner] * 3
+    names = {name for name, _ in handler.requests[0].headers}
+    assert not names & {b'upgrade', b'http2-settings'}
+
+
+def test_many_offers_in_one_piece_are_served(kernel, handler):
+    """Each of them makes the parser stop, and the next one goes on behind it."""
+    handler.answer = Refused(Reason.OVERLOADED, Seconds(1))
+    statuses = send_bytes(
+        kernel, write_request(b'/one/1', b'x', OFFER) * 200, answers=200
+    )
+    assert statuses == [503] * 200
+
+
+def test_offer_after_which_the_caller_closes_ends_the_connection(kernel, handler):
+    """Connection options beside the offer still hold."""
+    handler.answer = Refused(Reason.OVERLOADED, Seconds(1))
+    offer = b'Connection: close, Upgrade\r\nUpgrade: h2c\r\n'
+    request = write_request(b'/one/1', b'x', offer)
+    assert send_bytes(kernel, request * 2) == [503]
+
+
+def test_tunnel_is_rejected(kernel, handler):
+    """What follows CONNECT is for a tunnel and must not be parsed as requests."""
+    request = b'CONNECT a.example:80 HTTP/1.1\r\nHost: a.example\r\n\r\n'
+    assert send_bytes(kernel, request + write_request(b'/one/1')) == [400]
+    assert not handler.requests
