Drop the trailers of a caller's request

A field after a chunked body was appended to the headers if it arrived with the head, and forwarded as one; it could set the attempt id.

--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -81,6 +81,11 @@
         self._has_head = True
         super().on_headers_complete()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header; a field that follows the body is none."""
+        if not self._has_head:
+            super().on_header(name, value)
+
     def handle_websocket_upgrade(self) -> None:
         """Ignore an offer to change the protocol.
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -352,3 +352,16 @@
     request = b'CONNECT a.example:80 HTTP/1.1\r\nHost: a.example\r\n\r\n'
     assert send_bytes(kernel, request + write_request(b'/one/1')) == [400]
     assert not handler.requests
+
+
+def test_trailer_does_not_become_a_header(kernel, handler):
+    """A field after a chunked body is not a header of the request."""
+    handler.answer = Refused(Reason.OVERLOADED, Seconds(1))
+    request = (
+        b'POST /one/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n'
+        b'\r\n1\r\nx\r\n0\r\nRattanspoke-Attempt-Id: other\r\n\r\n'
+    )
+    assert send_bytes(kernel, request) == [503]
+    [served] = handler.requests
+    assert served.attempt == ''
+    assert not [name for name, _ in served.headers if b'rattanspoke' in name]
