Keep the question mark of an empty query

The ASGI scope does not distinguish an empty query from none, so '/a?' was forwarded as '/a'. The protocol now passes the target on as it was sent.

--- a/src/rattanspoke/_listening.py
+++ b/src/rattanspoke/_listening.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .model import CallerLimits, Seconds
+from .platform import TARGET_EXTENSION
 
 # What a client may send and how long it may take while no limits are configured.
 DEFAULT_LIMITS = CallerLimits(
@@ -77,9 +78,11 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Stop measuring."""
+        """Stop measuring, and pass the target on as it was sent."""
         self._has_head = True
         super().on_headers_complete()
+        if self.url.startswith(b'/') and b'#' not in self.url:
+            self.scope['extensions'] = {TARGET_EXTENSION: {'target': self.url}}
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header; a field that follows the body is none."""
--- a/src/rattanspoke/platform/_front.py
+++ b/src/rattanspoke/platform/_front.py
@@ -35,6 +35,9 @@
 Send: TypeAlias = Callable[[Message], Awaitable[None]]
 Application: TypeAlias = Callable[[Message, Receive, Send], Awaitable[None]]
 
+# Extension of the ASGI scope that holds the target of the request in origin form. The
+# scope itself does not distinguish an empty query from none.
+TARGET_EXTENSION = 'rattanspoke.target'
 DEFAULT_TIME_BUDGET = Seconds(60)  # for a request without the header
 MAX_TIME_BUDGET = Seconds(3600)
 DEFAULT_BODY_BYTES = 1024 * 1024  # limit while no desired state is known
@@ -122,12 +125,10 @@
         return Rejected(Reason.DEADLINE)
     if body is None:
         return Rejected(Reason.TOO_LARGE)
-    query = scope['query_string']
-    target = b'?'.join((scope['raw_path'], query) if query else (scope['raw_path'],))
     return CallerRequest(
         attempt=RequestId(values.get(ATTEMPT_ID_HEADER, b'').decode('latin-1')),
         method=scope['method'],
-        target=target.decode('latin-1'),
+        target=_read_target(scope).decode('latin-1'),
         authority=authority.partition(':')[0],
         headers=headers,
         body=body,
@@ -136,6 +137,16 @@
     )
 
 
+def _read_target(scope: Message) -> bytes:
+    """Return path and query, as the caller sent them if the server passes that on."""
+    extension = scope.get('extensions', {}).get(TARGET_EXTENSION)
+    if extension is not None:
+        target: bytes = extension['target']
+        return target
+    query = scope['query_string']
+    return b'?'.join((scope['raw_path'], query) if query else (scope['raw_path'],))
+
+
 def _count_header_bytes(headers: Headers) -> int:
     separators = len(b': \r\n')
     return sum(len(name) + len(value) + separators for name, value in headers)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -365,3 +365,20 @@
     [served] = handler.requests
     assert served.attempt == ''
     assert not [name for name, _ in served.headers if b'rattanspoke' in name]
+
+
+@pytest.mark.parametrize(
+    ('sent', 'target'),
+    [
+        (b'/one/1?', '/one/1?'),
+        (b'/one/1??', '/one/1??'),
+        (b'/one/1', '/one/1'),
+        (b'/one/%2F?a=%20&b', '/one/%2F?a=%20&b'),
+        (b'http://a.example/one/1?a', '/one/1?a'),
+    ],
+)
+def test_target_is_kept_byte_for_byte(kernel, handler, sent, target):
+    """An empty query keeps its question mark."""
+    handler.answer = Refused(Reason.OVERLOADED, Seconds(1))
+    assert send_bytes(kernel, write_request(sent)) == [503]
+    assert [each.target for each in handler.requests] == [target]
