Supervise the background work of all services

Cause: Tasks.spawn reports an error once; for endless work that is its end.

Change: a supervisor, found in the kernel, runs the work that goes on beside the requests: it starts it again after a bounded delay, writes a line with the name, the error and the count, counts it as a metric, and takes the host out of readiness while essential work keeps failing. The host does not end itself: an error from shared state strikes all hosts at once. Work that is meant to end is told apart by its type; endless work is annotated NoReturn, and test_shape keeps it out of plain tasks. The reload of settings, whose failure ended the process, is supervised too.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -22,6 +22,7 @@
     SLOW_START_ADMISSION,
     STATE_CODEC,
     STATE_REPLICATION,
+    SUPERVISOR,
     SUSPECTS,
     TIMELINE,
     UPSTREAM_CONNECTOR,
@@ -49,6 +50,7 @@
     HostSharedState,
     HostSlowStartAdmission,
     HostStateReplication,
+    HostSupervisor,
     HostSuspects,
     PeerLinks,
     StoreWatcher,
@@ -105,8 +107,7 @@
         return kernel.find(FLEET).neighbours()
 
     _provide_adapters(kernel, identity, adapters)
-    kernel.provide(RULES, HostRules(kernel, rules))
-    kernel.provide(LIFECYCLE, HostLifecycle())
+    _provide_foundations(kernel, rules)
     kernel.provide(PEERS, PeerLinks(kernel))
     kernel.provide(SHARED_STATE, HostSharedState(kernel))
     kernel.provide(DIRECTORY, UpstreamDirectory(kernel))
@@ -124,6 +125,13 @@
     return kernel
 
 
+def _provide_foundations(kernel: Kernel, rules: EdgeRules) -> None:
+    """Provide the services that depend on no other and that most others use."""
+    kernel.provide(SUPERVISOR, HostSupervisor(kernel))
+    kernel.provide(RULES, HostRules(kernel, rules))
+    kernel.provide(LIFECYCLE, HostLifecycle())
+
+
 def _provide_adapters(
     kernel: Kernel, identity: Identity, adapters: EdgeAdapters
 ) -> None:
--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -28,8 +28,11 @@
     LIFECYCLE,
     RULES,
     SHARED_STATE,
+    SUPERVISOR,
+    BackgroundWork,
     EdgeRules,
     Identity,
+    Importance,
     RetryBudgetRule,
     SlowStartRule,
 )
@@ -131,7 +134,9 @@
     async with EdgeProcess(settings) as process, asyncio.TaskGroup() as tasks:
         reload = SettingsReload(path, settings, process.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, reload.reload)
-        reload_task = tasks.create_task(reload.run())
+        supervisor = process.kernel.find(SUPERVISOR)
+        reload_work = BackgroundWork('settings', reload.poll, Importance.AUXILIARY)
+        reload_task = tasks.create_task(supervisor.run(reload_work))
         log.info('started', host=settings.host, callers=settings.callers)
         await stop_requested.wait()
         reload_task.cancel()
--- a/src/rattanspoke/_host.py
+++ b/src/rattanspoke/_host.py
@@ -20,6 +20,7 @@
     RECORD_STATUSES,
     SEARCHES,
     SEATS,
+    SUPERVISOR,
     SUSPECTS,
     TIMELINE,
     UPSTREAM_CLIENT,
@@ -46,6 +47,7 @@
     HostRecordStatuses,
     HostSearches,
     HostSeats,
+    HostSupervisor,
     HostSuspects,
     HostUpstreamLoads,
     HostWatch,
@@ -91,6 +93,7 @@
         return kernel.find(MEMBERS).select(HostState.LIVE)
 
     _provide_adapters(kernel, identity, adapters)
+    kernel.provide(SUPERVISOR, HostSupervisor(kernel))
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(CATALOG, HostCatalog(kernel))
     kernel.provide(PEERS, PeerLinks(kernel))
--- a/src/rattanspoke/_reload.py
+++ b/src/rattanspoke/_reload.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import fields
 from pathlib import Path
+from typing import NoReturn
 
 import structlog
 
@@ -41,7 +42,7 @@
         self._last_signature = _read_signature(path)
         self._log = structlog.get_logger()
 
-    async def run(self) -> None:
+    async def poll(self) -> NoReturn:
         """Poll the file for changes until cancelled."""
         while True:
             await asyncio.sleep(POLL_INTERVAL)
--- a/src/rattanspoke/contracts/__init__.py
+++ b/src/rattanspoke/contracts/__init__.py
@@ -60,6 +60,7 @@
     STATE_CHANGED,
     STATE_CODEC,
     STATE_REPLICATION,
+    SUPERVISOR,
     SUSPECTS,
     TIMELINE,
     UPSTREAM_CLIENT,
@@ -107,6 +108,7 @@
     UpstreamStatus,
     Watch,
 )
+from ._supervision import BackgroundWork, Importance, Supervisor
 
 __all__ = (
     'BOOKINGS',
@@ -145,6 +147,7 @@
     'STATE_CHANGED',
     'STATE_CODEC',
     'STATE_REPLICATION',
+    'SUPERVISOR',
     'SUSPECTS',
     'TIMELINE',
     'UPSTREAM_CLIENT',
@@ -153,6 +156,7 @@
     'UPSTREAM_LOADS',
     'UPSTREAM_REFUSED',
     'WATCH',
+    'BackgroundWork',
     'BookingResult',
     'Bookings',
     'Bundle',
@@ -167,6 +171,7 @@
     'EdgeRules',
     'Fleet',
     'Identity',
+    'Importance',
     'Lifecycle',
     'Members',
     'MessageType',
@@ -197,6 +202,7 @@
     'StateCodec',
     'StateReplication',
     'SubResult',
+    'Supervisor',
     'Suspects',
     'Timeline',
     'UpstreamClient',
--- a/src/rattanspoke/contracts/_counting.py
+++ b/src/rattanspoke/contracts/_counting.py
@@ -40,5 +40,6 @@
     PEER_PARCELS = 'rattanspoke_peer_parcels_total'
     PEER_LINKS_LOST = 'rattanspoke_peer_links_lost_total'
     MEMBERS_CHANGED = 'rattanspoke_members_changed_total'
+    TASK_FAILURES = 'rattanspoke_background_task_failures_total'
     LATENCY = 'rattanspoke_request_seconds'
     COVERAGE = 'rattanspoke_coverage_ratio'
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -47,10 +47,12 @@
     UpstreamLoads,
     Watch,
 )
+from ._supervision import Supervisor
 
 IDENTITY: ServiceKey[Identity] = ServiceKey('identity')
 COUNTERS: ServiceKey[Counters] = ServiceKey('counters')
 TIMELINE: ServiceKey[Timeline] = ServiceKey('timeline')
+SUPERVISOR: ServiceKey[Supervisor] = ServiceKey('supervisor')
 LIFECYCLE: ServiceKey[Lifecycle] = ServiceKey('lifecycle')
 CODEC: ServiceKey[Codec] = ServiceKey('codec')
 PLATFORM: ServiceKey[Platform] = ServiceKey('platform')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -96,6 +96,7 @@
     choose_half_life,
     choose_replica,
 )
+from ._restarts import MAX_RESTART_DELAY, RECOVERY_TIME, RestartPolicy
 from ._retry_after import (
     choose_retry_after,
 )
@@ -197,6 +198,7 @@
     'MAX_CONNECTIONS',
     'MAX_LATENCY',
     'MAX_QUANTILE_SHIFT',
+    'MAX_RESTART_DELAY',
     'MAX_SLOTS',
     'MAX_SUSPECTS',
     'MAX_WAIT_SHARE',
@@ -212,6 +214,7 @@
     'PART_TIMEOUT_FRACTION',
     'QUANTILE_STEPS',
     'RECENT_CALLS',
+    'RECOVERY_TIME',
     'REFILL_FRACTION',
     'REUSE_LOAD_FACTOR',
     'SELF_FENCE_AFTER',
@@ -246,6 +249,7 @@
     'RecentLatency',
     'RecordReplica',
     'Replica',
+    'RestartPolicy',
     'RetryBudget',
     'RotationMonitor',
     'RouteTable',
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -25,6 +25,7 @@
 from ._state import HostSharedState
 from ._state_replication import HostStateReplication
 from ._store_watcher import StoreWatcher
+from ._supervisor import HostSupervisor
 from ._suspects import HostSuspects
 from ._tasks import Tasks, read_clock
 from ._telemetry import HostCounters, HostTimeline
@@ -53,6 +54,7 @@
     'HostSharedState',
     'HostSlowStartAdmission',
     'HostStateReplication',
+    'HostSupervisor',
     'HostSuspects',
     'HostTimeline',
     'HostUpstreamLoads',
--- a/src/rattanspoke/services/_bookings.py
+++ b/src/rattanspoke/services/_bookings.py
@@ -84,7 +84,7 @@
     """Run bookings to the end, even after the caller has disconnected."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._catalog = kernel.find(CATALOG)
         self._claims = kernel.find(CLAIMS)
         self._counters = kernel.find(COUNTERS)
--- a/src/rattanspoke/services/_claims.py
+++ b/src/rattanspoke/services/_claims.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Self
+from typing import NoReturn, Self
 
 import xxhash
 
@@ -62,7 +62,7 @@
     """Acquire and settle claims through the claim writer of their bucket."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._peers = kernel.find(PEERS)
@@ -131,7 +131,7 @@
         if number not in self._buckets:
             bucket = _Bucket(self._kernel, number)
             self._buckets[number] = bucket
-            self._tasks.spawn(bucket.run())
+            self._supervise('claims', bucket.write_batches)
         return self._buckets[number]
 
 
@@ -157,7 +157,7 @@
         self._pending.put_nowait(_PendingChange(change, done))
         return await done
 
-    async def run(self) -> None:
+    async def write_batches(self) -> NoReturn:
         """Write pending changes in batches, at most WRITES_PER_SECOND."""
         while True:
             batch = [await self._pending.get()]
--- a/src/rattanspoke/services/_connection_pools.py
+++ b/src/rattanspoke/services/_connection_pools.py
@@ -255,7 +255,7 @@
     """Keep a connection pool for the current incarnation of each upstream in use."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._bus = kernel.bus
         self._connector = kernel.find(UPSTREAM_CONNECTOR)
         self._counters = kernel.find(COUNTERS)
--- a/src/rattanspoke/services/_fleet.py
+++ b/src/rattanspoke/services/_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Self
+from typing import NoReturn, Self
 
 import structlog
 
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._peers = kernel.find(PEERS)
@@ -104,7 +104,7 @@
         self._peers.serve_inline(RosterPull, self._answer_roster_pull)
         self._contact_seeds(self._rules.current)
         self._kernel.bus.subscribe(RULES_CHANGED, self._contact_seeds)
-        self._tasks.spawn(self._send_heartbeats())
+        self._supervise('heartbeats', self._send_heartbeats)
         return self
 
     def announce_leaving(self) -> None:
@@ -132,7 +132,7 @@
                 return True
         return False
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(self) -> NoReturn:
         while True:
             interval = self._view.interval
             await asyncio.sleep(interval)
--- a/src/rattanspoke/services/_host_registry.py
+++ b/src/rattanspoke/services/_host_registry.py
@@ -1,11 +1,11 @@
 """The entries of hosts in the store, from which a host that starts finds the others."""
 
 import asyncio
-from typing import Self
+from typing import NoReturn, Self
 
 import structlog
 
-from ..contracts import FLEET, OBJECT_STORE, RULES, STATE_CODEC
+from ..contracts import FLEET, OBJECT_STORE, RULES, STATE_CODEC, Importance
 from ..kernel import Kernel
 from ..model import (
     HOST_KIND,
@@ -37,7 +37,7 @@
     """
 
     def __init__(self, kernel: Kernel, entry: HostEntry) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._fleet = kernel.find(FLEET)
         self._rules = kernel.find(RULES)
         self._store = kernel.find(OBJECT_STORE)
@@ -46,9 +46,9 @@
         self._log = structlog.get_logger()
 
     async def __aenter__(self) -> Self:
-        self._tasks.spawn(self._register())
-        self._tasks.spawn(self._find_hosts())
-        self._tasks.spawn(self._reconcile())
+        self._supervise('registration', self._register)
+        self._supervise('search for hosts', self._find_hosts)
+        self._supervise('host entries', self._reconcile, Importance.AUXILIARY)
         return self
 
     async def _find_hosts(self) -> None:
@@ -102,7 +102,7 @@
             if stored is not None and stored.content != content:
                 await self._store.write(HOST_KIND, name, content, stored.revision)
 
-    async def _reconcile(self) -> None:
+    async def _reconcile(self) -> NoReturn:
         """Correct the store's entries of hosts while this host watches the store.
 
         An entry of a host that nobody knows is deleted, and a known host without one
--- a/src/rattanspoke/services/_link.py
+++ b/src/rattanspoke/services/_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
+from typing import NoReturn
 
 from ..contracts import (
     Bundle,
@@ -60,7 +61,7 @@
         """Stop waiting for the reply to a call."""
         self._pending_calls.pop(call, None)
 
-    async def run(self) -> None:
+    async def maintain(self) -> NoReturn:
         """Open the stream when there is something to send, and reopen a broken one."""
         while True:
             await self._wake.wait()
--- a/src/rattanspoke/services/_members.py
+++ b/src/rattanspoke/services/_members.py
@@ -1,7 +1,7 @@
 """Tier membership from heartbeats between hosts and the platform's host list."""
 
 import asyncio
-from typing import Self
+from typing import NoReturn, Self
 
 from ..contracts import (
     CATALOG,
@@ -40,7 +40,7 @@
     """Send heartbeats, read the platform's list, and track every other host's state."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._counters = kernel.find(COUNTERS)
@@ -85,8 +85,8 @@
 
     async def __aenter__(self) -> Self:
         self._peers.serve_inline(Heartbeat, self._answer_heartbeat)
-        self._tasks.spawn(self._send_heartbeats())
-        self._tasks.spawn(self._read_list())
+        self._supervise('heartbeats', self._send_heartbeats)
+        self._supervise('host list', self._read_list)
         return self
 
     def announce_leaving(self) -> None:
@@ -95,7 +95,7 @@
         for host in self._membership.list_known_hosts():
             self._send(host, heartbeat)
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(self) -> NoReturn:
         while True:
             heartbeat = self._make_heartbeat()
             for host in self._membership.list_targets(Seconds(read_clock())):
@@ -113,7 +113,7 @@
 
         self._peers.post(host, heartbeat, note)
 
-    async def _read_list(self) -> None:
+    async def _read_list(self) -> NoReturn:
         platform = self._kernel.find(PLATFORM)
         while True:
             now = read_clock()
--- a/src/rattanspoke/services/_owner.py
+++ b/src/rattanspoke/services/_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Self
+from typing import NoReturn, Self
 
 from ..contracts import (
     CATALOG,
@@ -15,6 +15,7 @@
     SEATS,
     SEATS_CHANGED,
     SUSPECTS,
+    Importance,
     Respond,
     UpstreamStatus,
 )
@@ -55,7 +56,7 @@
     """Route work to the dispatchers of upstreams, and exchange reports with owners."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._catalog = kernel.find(CATALOG)
@@ -101,7 +102,9 @@
         self._peers.serve_inline(DrainReport, self._handle_leave_report)
         self._kernel.bus.subscribe(SEATS_CHANGED, self._note_seats)
         self._kernel.bus.subscribe(RECORD_CHANGED, self._note_record)
-        self._tasks.spawn(self._repeat_reports())
+        self._supervise(
+            'slow start reports', self._repeat_reports, Importance.AUXILIARY
+        )
         return self
 
     def _accept(self, job: Job, respond: Callable[..., None]) -> Work | None:
@@ -253,7 +256,7 @@
             if host != self._identity.host:
                 self._peers.post(host, message, ignore_reply)
 
-    async def _repeat_reports(self) -> None:
+    async def _repeat_reports(self) -> NoReturn:
         """Repeat the levels for owners that missed a report or have just started."""
         seats = self._kernel.find(SEATS)
         while True:
--- a/src/rattanspoke/services/_peers.py
+++ b/src/rattanspoke/services/_peers.py
@@ -14,6 +14,7 @@
     PEER_TRANSPORT,
     TIMELINE,
     Bundle,
+    Importance,
     Metric,
     OnReply,
     Parcel,
@@ -35,7 +36,7 @@
     """One link and task for each peer called, one task for each accepted stream."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._identity = kernel.find(IDENTITY)
         self._counters = kernel.find(COUNTERS)
         self._timeline = kernel.find(TIMELINE)
@@ -112,7 +113,7 @@
                 host, self._transport, self._counters, self._pack, self._note_bundle
             )
             self._links[host] = link
-            self._tasks.spawn(link.run())
+            self._supervise('peer link', link.maintain, Importance.AUXILIARY)
         return self._links[host]
 
     def _dispatch(
--- a/src/rattanspoke/services/_readiness.py
+++ b/src/rattanspoke/services/_readiness.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from ..contracts import FLEET, LIFECYCLE, SHARED_STATE
+from ..contracts import FLEET, LIFECYCLE, SHARED_STATE, SUPERVISOR
 from ..decisions import RotationMonitor
 from ..kernel import Kernel
 from ..model import Seconds
@@ -10,19 +10,22 @@
 
 
 class HostReadiness:
-    """Derive readiness from the lifecycle, the shared state and failed searches."""
+    """Derive readiness from lifecycle, shared state, failed tasks and searches."""
 
     def __init__(self, kernel: Kernel) -> None:
         self._lifecycle = kernel.find(LIFECYCLE)
         self._state = kernel.find(SHARED_STATE)
         self._fleet = kernel.find(FLEET)
+        self._supervisor = kernel.find(SUPERVISOR)
         self._rotation = RotationMonitor()
         self._log = structlog.get_logger()
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this host."""
-        return self._state.is_complete and not self.should_close_connections()
+        if not self._state.is_complete or self._supervisor.is_impaired:
+            return False
+        return not self.should_close_connections()
 
     def should_close_connections(self) -> bool:
         """Whether replies ask callers to close their connection to this host."""
--- a/src/rattanspoke/services/_record_statuses.py
+++ b/src/rattanspoke/services/_record_statuses.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from typing import Self
+from typing import NoReturn, Self
 
 from ..contracts import (
     CATALOG,
@@ -16,6 +16,7 @@
     MEMBERS,
     PLATFORM,
     RECORD_CHANGED,
+    Importance,
     Metric,
 )
 from ..decisions import rank_hosts
@@ -39,7 +40,7 @@
     """Write the status of each record that changed or is rejected."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._catalog = kernel.find(CATALOG)
@@ -51,7 +52,7 @@
 
     async def __aenter__(self) -> Self:
         self._kernel.bus.subscribe(RECORD_CHANGED, self._note_change)
-        self._tasks.spawn(self._write_pending())
+        self._supervise('record statuses', self._write_pending, Importance.AUXILIARY)
         return self
 
     def _note_change(self, change: RecordChange) -> None:
@@ -61,7 +62,7 @@
             name = f'{change.kind.value}.{change.name}'
             self._pending[name] = RecordStatus(revision=change.revision)
 
-    async def _write_pending(self) -> None:
+    async def _write_pending(self) -> NoReturn:
         while True:
             await asyncio.sleep(WRITE_INTERVAL)
             self._pending |= {
--- a/src/rattanspoke/services/_request_handler.py
+++ b/src/rattanspoke/services/_request_handler.py
@@ -59,7 +59,7 @@
     """Route each request by the newest desired state when its handling begins."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._state = kernel.find(SHARED_STATE)
         self._connection_pools = kernel.find(CONNECTION_POOLS)
         self._replica_selection = kernel.find(REPLICA_SELECTION)
--- a/src/rattanspoke/services/_seats.py
+++ b/src/rattanspoke/services/_seats.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
-from typing import Self
+from typing import NoReturn, Self
 
 from ..contracts import (
     CATALOG,
@@ -64,7 +64,7 @@
     """Hold seats for connections, and keep the seat assignment record up to date."""
 
     def __init__(self, kernel: Kernel, seed: int) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._catalog = kernel.find(CATALOG)
@@ -120,7 +120,7 @@
         self._started = Seconds(read_clock())
         self._kernel.bus.subscribe(RECORD_CHANGED, self._note_change)
         self._kernel.bus.subscribe(MEMBER_CHANGED, self._note_member)
-        self._tasks.spawn(self._keep_reconciling())
+        self._supervise('seats', self._keep_reconciling)
         return self
 
     @contextmanager
@@ -154,7 +154,7 @@
                 )
         self._changed.set()
 
-    async def _keep_reconciling(self) -> None:
+    async def _keep_reconciling(self) -> NoReturn:
         while True:
             self._refresh()
             if not self._kernel.find(LIFECYCLE).is_leaving:
--- a/src/rattanspoke/services/_state_replication.py
+++ b/src/rattanspoke/services/_state_replication.py
@@ -48,7 +48,7 @@
     """Push state updates to other hosts, and pull those that this host missed."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._peers = kernel.find(PEERS)
@@ -127,7 +127,7 @@
     async def __aenter__(self) -> Self:
         self._peers.serve(StatePull, self._answer_pull)
         self._peers.serve(StateUpdate, self._handle_update)
-        self._tasks.spawn(self._await_current_state())
+        self._supervise('start of the state', self._await_current_state)
         return self
 
     async def _await_current_state(self) -> None:
--- a/src/rattanspoke/services/_store_watcher.py
+++ b/src/rattanspoke/services/_store_watcher.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from typing import Self
+from functools import partial
+from typing import NoReturn, Self
 
 import structlog
 
@@ -50,7 +51,7 @@
     """
 
     def __init__(self, kernel: Kernel, seed: int) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._store = kernel.find(OBJECT_STORE)
         self._state = kernel.find(SHARED_STATE)
         self._host = kernel.find(IDENTITY).host
@@ -64,10 +65,10 @@
 
     async def __aenter__(self) -> Self:
         for kind in StateKind:
-            self._tasks.spawn(self._watch_kind(kind))
+            self._supervise(f'watch of {kind.value}', partial(self._watch_kind, kind))
         return self
 
-    async def _watch_kind(self, kind: StateKind) -> None:
+    async def _watch_kind(self, kind: StateKind) -> NoReturn:
         backoff = INITIAL_BACKOFF
         await self._state.await_complete(self._choose_start_delay())
         while True:
--- a/src/rattanspoke/services/_tasks.py
+++ b/src/rattanspoke/services/_tasks.py
@@ -1,10 +1,13 @@
 """Background tasks that are cancelled when the service that owns them stops."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any, Self
 
+from ..contracts import SUPERVISOR, BackgroundWork, Importance
+from ..kernel import Kernel
+
 
 class Tasks:
     """A set of running background tasks that can be cancelled together."""
@@ -15,7 +18,11 @@
         self._running: set[asyncio.Task[Any]] = set()
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Start a coroutine as a task that runs until it ends or is cancelled."""
+        """Start a coroutine as a task that runs until it ends or is cancelled.
+
+        It is for work on behalf of one request or message, which an unexpected error
+        ends. Work that must go on is supervised instead.
+        """
         task = asyncio.get_running_loop().create_task(work)
         self._running.add(task)
         task.add_done_callback(self._finish)
@@ -39,8 +46,9 @@
 class TaskOwner:
     """Base class of services whose background tasks are cancelled on exit."""
 
-    def __init__(self) -> None:
+    def __init__(self, kernel: Kernel) -> None:
         self._tasks = Tasks()
+        self._supervisor = kernel.find(SUPERVISOR)
 
     async def __aenter__(self) -> Self:
         return self
@@ -53,6 +61,22 @@
     ) -> None:
         await self._tasks.cancel_all()
 
+    def _supervise(
+        self,
+        name: str,
+        start: Callable[[], Coroutine[Any, Any, None]],
+        importance: Importance = Importance.ESSENTIAL,
+    ) -> None:
+        """Keep work running in the background until the service stops.
+
+        Args:
+            name: names the work in logs and metrics.
+            start: returns a new coroutine of the work.
+            importance: whether the host is ready while the work keeps failing.
+        """
+        work = BackgroundWork(name, start, importance)
+        self._tasks.spawn(self._supervisor.run(work))
+
 
 def read_clock() -> float:
     """Return the running loop's monotonic time in seconds."""
--- a/src/rattanspoke/services/_watch.py
+++ b/src/rattanspoke/services/_watch.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from typing import Self
+from typing import NoReturn, Self
 
 from ..contracts import (
     CATALOG,
@@ -53,7 +53,7 @@
     """Update the catalog from the platform and from peers."""
 
     def __init__(self, kernel: Kernel, seed: int) -> None:
-        super().__init__()
+        super().__init__(kernel)
         self._kernel = kernel
         self._identity = kernel.find(IDENTITY)
         self._counters = kernel.find(COUNTERS)
@@ -108,10 +108,10 @@
     async def __aenter__(self) -> Self:
         self._peers.serve(RecordsPull, self._answer_pull)
         self._peers.serve(RecordsPush, self._apply_push)
-        self._tasks.spawn(self._watch_platform())
+        self._supervise('record watch', self._watch_platform)
         return self
 
-    async def _watch_platform(self) -> None:
+    async def _watch_platform(self) -> NoReturn:
         while True:
             self._is_watching = self._should_watch()
             if not self._is_watching:
--- a/src/rattanspoke/transports/_front.py
+++ b/src/rattanspoke/transports/_front.py
@@ -16,6 +16,7 @@
     LIFECYCLE,
     ORGANISATIONS,
     SEARCHES,
+    SUPERVISOR,
     TIMELINE,
     Metric,
 )
@@ -102,8 +103,10 @@
     @get('/ready')
     async def ready() -> Response[Any]:
         """Tell the load balancer whether to send requests to this host."""
-        leaving = kernel.find(LIFECYCLE).is_leaving
-        return Response({'ready': not leaving}, status_code=503 if leaving else 200)
+        is_ready = not (
+            kernel.find(LIFECYCLE).is_leaving or kernel.find(SUPERVISOR).is_impaired
+        )
+        return Response({'ready': is_ready}, status_code=200 if is_ready else 503)
 
     @get('/metrics')
     async def metrics() -> Response[Any]:
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -112,7 +112,7 @@
     path, reload, applied = reloading
 
     async def scene():
-        reload_task = asyncio.ensure_future(reload.run())
+        reload_task = asyncio.ensure_future(reload.poll())
         await asyncio.sleep(POLL_INTERVAL * 3)
         assert not applied
         path.write_text(SETTINGS + 'bounds.warmupSlack=9\n')
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -12,6 +12,7 @@
     READINESS,
     REQUEST_HANDLER,
     SHARED_STATE,
+    SUPERVISOR,
 )
 from rattanspoke.kernel import Kernel
 from rattanspoke.model import (
@@ -30,7 +31,12 @@
     UpstreamReply,
 )
 from rattanspoke.platform import make_caller_app, make_probe_app
-from rattanspoke.services import HostCounters, HostLifecycle, HostReadiness
+from rattanspoke.services import (
+    HostCounters,
+    HostLifecycle,
+    HostReadiness,
+    HostSupervisor,
+)
 
 from .sockets import end, listening
 
@@ -92,6 +98,7 @@
     """Return a kernel with the services that the applications use."""
     kernel = Kernel()
     kernel.provide(COUNTERS, HostCounters())
+    kernel.provide(SUPERVISOR, HostSupervisor(kernel))
     kernel.provide(LIFECYCLE, HostLifecycle())
     kernel.provide(SHARED_STATE, FakeState())
     kernel.provide(FLEET, FakeFleet())
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -103,3 +103,43 @@
     for path in SOURCE.rglob('*.py'):
         for _, name in list_imports(path):
             assert name.split('.')[0] not in PROCESS_MODULES, (path, name)
+
+
+def test_endless_work_is_supervised():
+    """A loop without an end is annotated so, and never the work of a plain task.
+
+    An unexpected error ends a plain task for good, and nobody notices.
+    """
+    endless = set()
+    for path in SOURCE.rglob('*.py'):
+        tree = ast.parse(path.read_text())
+        for node in ast.walk(tree):
+            if isinstance(node, ast.AsyncFunctionDef) and loops_forever(node):
+                assert isinstance(node.returns, ast.Name), (path, node.name)
+                assert node.returns.id == 'NoReturn', (path, node.name)
+                endless.add(node.name)
+    assert endless
+    for path in SOURCE.rglob('*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and find_name(node.func) in PLAIN_TASKS:
+                started = {find_name(each) for each in ast.walk(node)}
+                assert 'supervisor' in ast.dump(node) or not started & endless, path
+
+
+LOOP_EXITS = ast.Return | ast.Break | ast.Yield
+PLAIN_TASKS = {'spawn', 'create_task', 'ensure_future'}
+
+
+def loops_forever(function):
+    """Return whether a function holds a `while True` that only an error leaves."""
+    for node in ast.walk(function):
+        if isinstance(node, ast.While) and isinstance(node.test, ast.Constant):
+            inner = [each for child in node.body for each in ast.walk(child)]
+            if not any(isinstance(each, LOOP_EXITS) for each in inner):
+                return True
+    return False
+
+
+def find_name(node):
+    """Return the last part of a name or attribute, empty for other expressions."""
+    return getattr(node, 'attr', getattr(node, 'id', ''))
