Act on what upstreams announce in their replies

New rules of the users: a server that leaves says so in all its answers (Server-Leaving), and one that turns a request away with 503 may ask for quiet (Retry-After). Neither may wait for the store.

The headers are decoded in platform/_upstreams. What they mean is a decision of its own (decisions/_upstream_notices), by incarnation: an entry that says ready, or is written again, does not revoke a notice; a new incarnation is used at once. It is asked twice, when an upstream is chosen and when a queued request is about to be sent, which then fails as not run and costs no attempt. A service all of whose upstreams leave uses them for half of the drain time and refuses at once after that. An upstream that wanted quiet gets one request at a time first. The figure is bounded by MAX_QUIET. Both headers are addressed to this host and not relayed.

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -26,6 +26,7 @@
     SUSPECTS,
     TIMELINE,
     UPSTREAM_CONNECTOR,
+    UPSTREAM_NOTICES,
     Counters,
     EdgeRules,
     Identity,
@@ -52,6 +53,7 @@
     HostStateReplication,
     HostSupervisor,
     HostSuspects,
+    HostUpstreamNotices,
     PeerLinks,
     StoreWatcher,
     UpstreamDirectory,
@@ -117,6 +119,7 @@
     kernel.provide(SUSPECTS, HostSuspects(kernel, neighbours, is_forwarding=True))
     kernel.provide(CRASH_GUARD, HostCrashGuard(kernel))
     kernel.provide(SLOW_START_ADMISSION, HostSlowStartAdmission(kernel))
+    kernel.provide(UPSTREAM_NOTICES, HostUpstreamNotices(kernel))
     kernel.provide(CONNECTION_POOLS, HostConnectionPools(kernel))
     kernel.provide(REPLICA_SELECTION, HostReplicaSelection(kernel, seed))
     kernel.provide(READINESS, HostReadiness(kernel))
--- a/src/rattanspoke/contracts/__init__.py
+++ b/src/rattanspoke/contracts/__init__.py
@@ -9,6 +9,7 @@
     Directory,
     EdgeRules,
     Fleet,
+    NoticeBoard,
     ObjectStore,
     Readiness,
     ReplicaSelection,
@@ -60,13 +61,13 @@
     STATE_CHANGED,
     STATE_CODEC,
     STATE_REPLICATION,
-    SUPERVISOR,
     SUSPECTS,
     TIMELINE,
     UPSTREAM_CLIENT,
     UPSTREAM_CONNECTOR,
     UPSTREAM_GONE,
     UPSTREAM_LOADS,
+    UPSTREAM_NOTICES,
     UPSTREAM_REFUSED,
     WATCH,
 )
@@ -108,7 +109,7 @@
     UpstreamStatus,
     Watch,
 )
-from ._supervision import BackgroundWork, Importance, Supervisor
+from ._supervision import SUPERVISOR, BackgroundWork, Importance, Supervisor
 
 __all__ = (
     'BOOKINGS',
@@ -154,6 +155,7 @@
     'UPSTREAM_CONNECTOR',
     'UPSTREAM_GONE',
     'UPSTREAM_LOADS',
+    'UPSTREAM_NOTICES',
     'UPSTREAM_REFUSED',
     'WATCH',
     'BackgroundWork',
@@ -176,6 +178,7 @@
     'Members',
     'MessageType',
     'Metric',
+    'NoticeBoard',
     'ObjectList',
     'ObjectStore',
     'OnReply',
--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -1,6 +1,6 @@
 """Protocols of the services of a host on the users' platform."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Protocol, Self
@@ -14,6 +14,7 @@
     HostEntry,
     HostId,
     PendingRequest,
+    Reason,
     Registration,
     Revision,
     Route,
@@ -285,6 +286,25 @@
         """Apply changes that this host read from the store and replicate them."""
 
 
+class NoticeBoard(Protocol):
+    """What upstreams announce about themselves in their replies to this host."""
+
+    def note_reply(self, target: Registration, reply: UpstreamReply) -> None:
+        """Record what a reply says about the upstream that sent it."""
+
+    def select(self, targets: Iterable[Registration]) -> tuple[Registration, ...]:
+        """Return the upstreams of a service that are not leaving.
+
+        If all of them are, those that can still serve a request.
+        """
+
+    def measure_quiet(self, target: Registration) -> Seconds:
+        """Return the seconds for which an upstream still wants no requests."""
+
+    def find_objection(self, target: Registration) -> Reason | None:
+        """Return why a request that was chosen an upstream must not be sent now."""
+
+
 class ConnectionPools(Protocol):
     """Pools of connections to upstreams, with a queue of requests for each."""
 
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -16,6 +16,7 @@
     Directory,
     EdgeRules,
     Fleet,
+    NoticeBoard,
     ObjectStore,
     Readiness,
     ReplicaSelection,
@@ -47,12 +48,10 @@
     UpstreamLoads,
     Watch,
 )
-from ._supervision import Supervisor
 
 IDENTITY: ServiceKey[Identity] = ServiceKey('identity')
 COUNTERS: ServiceKey[Counters] = ServiceKey('counters')
 TIMELINE: ServiceKey[Timeline] = ServiceKey('timeline')
-SUPERVISOR: ServiceKey[Supervisor] = ServiceKey('supervisor')
 LIFECYCLE: ServiceKey[Lifecycle] = ServiceKey('lifecycle')
 CODEC: ServiceKey[Codec] = ServiceKey('codec')
 PLATFORM: ServiceKey[Platform] = ServiceKey('platform')
@@ -83,6 +82,7 @@
 SLOW_START_ADMISSION: ServiceKey[SlowStartAdmission] = ServiceKey(
     'slow start admission'
 )
+UPSTREAM_NOTICES: ServiceKey[NoticeBoard] = ServiceKey('upstream notices')
 CONNECTION_POOLS: ServiceKey[ConnectionPools] = ServiceKey('connection pools')
 STATE_REPLICATION: ServiceKey[StateReplication] = ServiceKey('state replication')
 REPLICA_SELECTION: ServiceKey[ReplicaSelection] = ServiceKey('replica selection')
--- a/src/rattanspoke/contracts/_supervision.py
+++ b/src/rattanspoke/contracts/_supervision.py
@@ -1,10 +1,12 @@
-"""Protocol of the service that keeps background work of a host running."""
+"""Protocol and key of the service that keeps background work of a host running."""
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Any, Protocol
 
+from ..kernel import ServiceKey
+
 
 @unique
 class Importance(Enum):
@@ -51,3 +53,6 @@
 
     async def run(self, work: BackgroundWork) -> None:
         """Run work until its normal end, and start it again after each failure."""
+
+
+SUPERVISOR: ServiceKey[Supervisor] = ServiceKey('supervisor')
--- a/src/rattanspoke/decisions/__init__.py
+++ b/src/rattanspoke/decisions/__init__.py
@@ -162,6 +162,7 @@
     choose_stale_age,
     choose_watchers,
 )
+from ._upstream_notices import MAX_QUIET, UpstreamNotices
 from ._validation import (
     DIGEST_LENGTH,
     MAX_CONNECTIONS,
@@ -198,6 +199,7 @@
     'MAX_CONNECTIONS',
     'MAX_LATENCY',
     'MAX_QUANTILE_SHIFT',
+    'MAX_QUIET',
     'MAX_RESTART_DELAY',
     'MAX_SLOTS',
     'MAX_SUSPECTS',
@@ -260,6 +262,7 @@
     'Throttle',
     'TokenBucket',
     'UpstreamLoad',
+    'UpstreamNotices',
     'WaitForAll',
     'WaitPolicy',
     'WeightedRoundRobin',
--- a/src/rattanspoke/decisions/_concurrency.py
+++ b/src/rattanspoke/decisions/_concurrency.py
@@ -73,6 +73,11 @@
         """
         self._decrease(SHED_DECREASE_FACTOR, sent, now)
 
+    def restart(self, now: Seconds) -> None:
+        """Begin anew with one request at a time, and grow with timely replies."""
+        self.limit = MIN_CONCURRENCY
+        self.decreased_at = now
+
     def _decrease(self, factor: float, sent: Seconds, now: Seconds) -> None:
         if sent < self.decreased_at:
             return  # the call was sent under the previous, higher limit
--- a/src/rattanspoke/decisions/_replicas.py
+++ b/src/rattanspoke/decisions/_replicas.py
@@ -46,6 +46,7 @@
         UNREACHABLE: the connection could not be opened, or was refused.
         LOST: no reply to a call that was sent.
         SHED: the upstream did not run the request.
+        OVERLOADED: the upstream wants no requests for a while.
         FAILED: the upstream replied with an error.
         WRONG_UPSTREAM: another upstream has the address now.
     """
@@ -53,6 +54,7 @@
     UNREACHABLE = 'unreachable'
     LOST = 'lost'
     SHED = 'shed'
+    OVERLOADED = 'overloaded'
     FAILED = 'failed'
     WRONG_UPSTREAM = 'foreign'
 
@@ -106,6 +108,9 @@
             case Failure.SHED:
                 self.concurrency.note_shed(sent, now)
                 self._pause(SHED_PAUSE, now)
+            case Failure.OVERLOADED:
+                self.concurrency.restart(now)
+                self._pause(SHED_PAUSE, now)
             case Failure.UNREACHABLE | Failure.WRONG_UPSTREAM:
                 self.failures += 1
                 self._pause(self._choose_backoff(self.failures), now)
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -135,7 +135,7 @@
     WeightedServices,
 )
 from ._states import (
-    CONNECT_FAILURES,
+    UNSENT_FAILURES,
     ClaimState,
     EventKind,
     ExtraSend,
@@ -150,10 +150,10 @@
 )
 
 __all__ = (
-    'CONNECT_FAILURES',
     'HOST_KIND',
     'MS_PER_SECOND',
     'NO_REVISION',
+    'UNSENT_FAILURES',
     'Acknowledgement',
     'Answer',
     'Baseline',
--- a/src/rattanspoke/model/_exchanges.py
+++ b/src/rattanspoke/model/_exchanges.py
@@ -60,6 +60,9 @@
         seal: the upstream's proof that the reply is its own, None if it sent none.
         is_misdirected: whether the upstream reports that it is not the addressed one,
             because its address was reused.
+        is_leaving: whether the upstream announces that it shuts down.
+        quiet_time: seconds for which the upstream wants no requests of this host, None
+            if it does not say.
     """
 
     upstream: UpstreamId
@@ -69,6 +72,8 @@
     outcome: Outcome
     seal: Seal | None = None
     is_misdirected: bool = False
+    is_leaving: bool = False
+    quiet_time: Seconds | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/rattanspoke/model/_states.py
+++ b/src/rattanspoke/model/_states.py
@@ -33,6 +33,7 @@
     UPSTREAM_DRAINING = 'upstream leaving'
     UPSTREAM_COLD = 'upstream cold'
     UPSTREAM_SHED = 'upstream shed'
+    UPSTREAM_QUIET = 'upstream wants no requests'
     UPSTREAM_UNREACHABLE = 'upstream unreachable'
     UPSTREAM_FAILED = 'upstream failed'
     UPSTREAM_LOST = 'upstream lost'
@@ -56,8 +57,15 @@
     UPSTREAM_REFUSED = 'upstream refuses connections'
 
 
-# Failures to connect: the upstream has received nothing of the call.
-CONNECT_FAILURES = frozenset((Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_REFUSED))
+# Failures before anything was sent: the upstream has received nothing of the call.
+UNSENT_FAILURES = frozenset(
+    (
+        Reason.UPSTREAM_UNREACHABLE,
+        Reason.UPSTREAM_REFUSED,
+        Reason.UPSTREAM_DRAINING,
+        Reason.UPSTREAM_QUIET,
+    )
+)
 
 
 @unique
--- a/src/rattanspoke/platform/_upstreams.py
+++ b/src/rattanspoke/platform/_upstreams.py
@@ -3,9 +3,14 @@
 Each failure carries an `Outcome`, which says whether the upstream ran the request.
 """
 
+import re
+import time
+from email.utils import parsedate_to_datetime
 from types import TracebackType
 from typing import Self
 
+import structlog
+
 from ..model import (
     MS_PER_SECOND,
     CallerRequest,
@@ -30,11 +35,20 @@
     MISDIRECTED_STATUS,
     NOT_EXECUTED_HEADER,
     REPLACED_HEADERS,
+    REPLY_HOP_HEADERS,
+    RETRY_AFTER_HEADER,
+    SERVER_LEAVES,
+    SERVER_LEAVING_HEADER,
     SERVER_SEAL_HEADER,
+    UNAVAILABLE_STATUS,
 )
 
+SECONDS = re.compile(r'[0-9]{1,15}([.][0-9]{1,15})?')
+LOGGED_CHARACTERS = 40  # of a header's value
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
+_LOG = structlog.get_logger()
+
 
 class HttpUpstreamConnector:
     """Opens HTTP/1.1 connections to upstreams."""
@@ -150,14 +164,35 @@
     return UpstreamReply(
         upstream=upstream,
         status=response.status,
-        headers=response.select_end_to_end_headers(HOP_BY_HOP_HEADERS),
+        headers=response.select_end_to_end_headers(REPLY_HOP_HEADERS),
         body=bytes(response.body),
         outcome=Outcome.NOT_RUN if not_executed or is_misdirected else Outcome.RAN,
         seal=None if seal is None else Seal(seal.decode('latin-1')),
         is_misdirected=is_misdirected,
+        is_leaving=response.find_header(SERVER_LEAVING_HEADER) == SERVER_LEAVES,
+        quiet_time=_read_quiet_time(response),
     )
 
 
+def _read_quiet_time(response: HttpResponse) -> Seconds | None:
+    """Return the seconds in the Retry-After header of a 503, None if it asks for none.
+
+    The header holds seconds, which may be fractional, or a date.
+    """
+    value = response.find_header(RETRY_AFTER_HEADER)
+    if value is None or response.status != UNAVAILABLE_STATUS:
+        return None
+    text = value.decode('latin-1').strip()
+    if SECONDS.fullmatch(text):
+        return Seconds(float(text)) or None
+    try:
+        moment = parsedate_to_datetime(text)
+        return Seconds(max(0, moment.timestamp() - time.time())) or None
+    except (ValueError, OverflowError):
+        _LOG.info('retry-after not readable', value=text[:LOGGED_CHARACTERS])
+        return None
+
+
 def _write_head(request: CallerRequest, upstream: UpstreamId, budget: Seconds) -> bytes:
     budget_ms = max(1, int(budget * MS_PER_SECOND))
     lines = [f'{request.method} {request.target} HTTP/1.1'.encode('latin-1')]
--- a/src/rattanspoke/platform/_words.py
+++ b/src/rattanspoke/platform/_words.py
@@ -14,6 +14,13 @@
 PART_SEALS_HEADER = b'rattanspoke-part-stamps'
 MISSING_PARTS_HEADER = b'rattanspoke-missing-parts'
 
+# An upstream that shuts down sends this header with the value 1 in every reply.
+SERVER_LEAVING_HEADER = b'server-leaving'
+SERVER_LEAVES = b'1'
+# In a reply with status 503, the seconds for which the upstream wants no requests.
+RETRY_AFTER_HEADER = b'retry-after'
+UNAVAILABLE_STATUS = 503
+
 READINESS_PATH = '/-/readiness'  # probed by the load balancer
 OBJECTS_PATH = '/-/objects/'  # prefix of the paths of stored objects
 
@@ -35,6 +42,8 @@
 )
 # An encoded reply is not the one that the upstream sealed, so none is asked for.
 ACCEPT_ENCODING_HEADER = b'accept-encoding'
+# Headers of replies that are addressed to this host and not to its callers.
+REPLY_HOP_HEADERS = HOP_BY_HOP_HEADERS | {SERVER_LEAVING_HEADER, RETRY_AFTER_HEADER}
 REPLACED_HEADERS = frozenset(
     (TIME_BUDGET_HEADER, TARGET_INSTANCE_HEADER, ACCEPT_ENCODING_HEADER)
 )
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -25,10 +25,10 @@
 from ._state import HostSharedState
 from ._state_replication import HostStateReplication
 from ._store_watcher import StoreWatcher
-from ._supervisor import HostSupervisor
 from ._suspects import HostSuspects
-from ._tasks import Tasks, read_clock
+from ._tasks import HostSupervisor, Tasks, read_clock
 from ._telemetry import HostCounters, HostTimeline
+from ._upstream_notices import HostUpstreamNotices
 from ._watch import HostWatch
 
 __all__ = (
@@ -58,6 +58,7 @@
     'HostSuspects',
     'HostTimeline',
     'HostUpstreamLoads',
+    'HostUpstreamNotices',
     'HostWatch',
     'PeerLinks',
     'StoreWatcher',
--- a/src/rattanspoke/services/_connection_pools.py
+++ b/src/rattanspoke/services/_connection_pools.py
@@ -13,9 +13,11 @@
     SHARED_STATE,
     UPSTREAM_CONNECTOR,
     UPSTREAM_GONE,
+    UPSTREAM_NOTICES,
     UPSTREAM_REFUSED,
     Counters,
     Metric,
+    NoticeBoard,
     UpstreamConnector,
     UpstreamHttpConnection,
 )
@@ -93,6 +95,7 @@
     tasks: Tasks
     counters: Counters
     bus: Bus
+    notices: NoticeBoard
     limit: Callable[[], int]
     open_count: int = 0
     _needs_replacement: bool = False
@@ -180,7 +183,7 @@
         self, connection: UpstreamHttpConnection, queued: _QueuedRequest
     ) -> None:
         budget = Seconds(queued.request.deadline - read_clock())
-        if queued.is_done:
+        if queued.is_done or self._withhold(queued):
             return
         queued.connection = connection
         try:
@@ -195,8 +198,18 @@
                 self._needs_replacement = True
             queued.fail(error)
         else:
+            self.notices.note_reply(self.target, reply)
             queued.finish(reply)
 
+    def _withhold(self, queued: _QueuedRequest) -> bool:
+        """Fail a request that the upstream has asked not to be sent, as not run."""
+        objection = self.notices.find_objection(self.target)
+        if objection is None:
+            return False
+        self.counters.add(Metric.SENDS_WITHHELD, objection.value)
+        queued.fail(UpstreamError(objection, Outcome.NOT_RUN))
+        return True
+
     async def _await_request(self, connection: UpstreamHttpConnection) -> bool:
         """Wait for a request; return False when the connection should be closed."""
         keep_alive = connection.keep_alive_timeout
@@ -261,6 +274,7 @@
         self._counters = kernel.find(COUNTERS)
         self._state = kernel.find(SHARED_STATE)
         self._fleet = kernel.find(FLEET)
+        self._notices = kernel.find(UPSTREAM_NOTICES)
         self._pools: dict[UpstreamId, tuple[Incarnation, _ConnectionPool]] = {}
         kernel.bus.subscribe(UPSTREAM_GONE, self._forget_upstream)
 
@@ -293,6 +307,7 @@
                 tasks=self._tasks,
                 counters=self._counters,
                 bus=self._bus,
+                notices=self._notices,
                 limit=lambda: self._find_limit(target.service),
             )
             known = target.incarnation, pool
--- a/src/rattanspoke/services/_replica_selection.py
+++ b/src/rattanspoke/services/_replica_selection.py
@@ -14,6 +14,7 @@
     RULES,
     SLOW_START_ADMISSION,
     UPSTREAM_GONE,
+    UPSTREAM_NOTICES,
 )
 from ..decisions import (
     CallPace,
@@ -76,6 +77,7 @@
         self._zone = kernel.find(IDENTITY).zone
         self._directory = kernel.find(DIRECTORY)
         self._fleet = kernel.find(FLEET)
+        self._notices = kernel.find(UPSTREAM_NOTICES)
         self._slow_start = kernel.find(SLOW_START_ADMISSION)
         self._rules = kernel.find(RULES)
         self._replicas: dict[UpstreamId, tuple[Incarnation, Replica]] = {}
@@ -169,12 +171,8 @@
             took = Seconds(now - sent)
             replica.note_success(took / self._estimate_baseline(route), sent, now)
             self._find_latency(route).record(took, now)
-        elif reply.is_misdirected:
-            replica.note_failure(Failure.WRONG_UPSTREAM, sent, now)
-        elif reply.outcome is Outcome.NOT_RUN:
-            replica.note_failure(Failure.SHED, sent, now)
         else:
-            replica.note_failure(Failure.FAILED, sent, now)
+            replica.note_failure(_classify_failure(reply), sent, now)
         self._log_pause(target, replica, now)
 
     def note_failure(
@@ -187,6 +185,8 @@
         match error.reason:
             case Reason.UPSTREAM_UNREACHABLE | Reason.UPSTREAM_REFUSED:
                 replica.note_failure(Failure.UNREACHABLE, sent, now)
+            case Reason.UPSTREAM_DRAINING | Reason.UPSTREAM_QUIET:
+                pass  # nothing was sent
             case Reason.DEADLINE if ratio < FAILURE_LATENCY_RATIO:
                 # The deadline left too little time to call the upstream failed.
                 replica.note_slow(ratio, now)
@@ -241,7 +241,8 @@
         replicas = [
             self._find_replica(target)
             for target in targets.values()
-            if self._slow_start.admits(target.upstream)
+            if self._notices.find_objection(target) is None
+            and self._slow_start.admits(target.upstream)
         ]
         half_life = choose_half_life(self._paces[service].gap)
         for replica in replicas:
@@ -253,21 +254,21 @@
     def _find_available_in(
         self, service: ServiceId, route: Route, tried: Collection[UpstreamId]
     ) -> Seconds | None:
-        """Return the seconds until an untried upstream leaves its pause.
+        """Return the seconds until an untried upstream may get requests again.
 
         Returns:
             Zero when one is not paused, even if it is busy, since any reply frees
             capacity. None when every upstream was tried or the service has none.
         """
         now = read_clock()
-        replicas = [
-            self._find_replica(target)
+        waits = [
+            max(
+                self._find_replica(target).paused_until - now,
+                self._notices.measure_quiet(target),
+            )
             for target in self._list_targets(service, route, tried)
         ]
-        if not replicas:
-            return None
-        available_at = min(each.paused_until for each in replicas)
-        return Seconds(max(0, available_at - now))
+        return Seconds(max(0, min(waits))) if waits else None
 
     def _estimate_queue_time(
         self, service: ServiceId, pending: PendingRequest
@@ -294,7 +295,7 @@
         regions = self._rules.current.regions
         return [
             target
-            for target in self._directory.replicas(service)
+            for target in self._notices.select(self._directory.replicas(service))
             if target.upstream not in tried
             and (not route.regions or regions.get(target.zone) in route.regions)
         ]
@@ -363,5 +364,17 @@
         self._replicas.pop(upstream, None)
 
 
+def _classify_failure(reply: UpstreamReply) -> Failure:
+    match reply:
+        case UpstreamReply(is_misdirected=True):
+            return Failure.WRONG_UPSTREAM
+        case UpstreamReply(quiet_time=None, outcome=Outcome.NOT_RUN):
+            return Failure.SHED
+        case UpstreamReply(quiet_time=None):
+            return Failure.FAILED
+        case _:
+            return Failure.OVERLOADED
+
+
 def _now() -> Seconds:
     return Seconds(read_clock())
--- a/src/rattanspoke/services/_service_request.py
+++ b/src/rattanspoke/services/_service_request.py
@@ -8,7 +8,7 @@
 
 from ..contracts import ConnectionPools, Counters, Metric, ReplicaSelection
 from ..model import (
-    CONNECT_FAILURES,
+    UNSENT_FAILURES,
     CallerRequest,
     CallId,
     ExtraSend,
@@ -250,7 +250,7 @@
             reason=reason.value,
             outcome=outcome.value,
         )
-        if reason in CONNECT_FAILURES:
+        if reason in UNSENT_FAILURES:
             self._attempts -= 1
         if outcome is not Outcome.NOT_RUN:
             self._outcome = outcome
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -62,6 +62,8 @@
         fails: whether it replies to every request with status 500.
         status: status of every reply, unless it fails or sheds.
         is_sealed: whether its replies have a seal.
+        is_leaving: whether its replies announce that it shuts down.
+        quiet_time: seconds for which it wants no requests after it has shed one.
         breaks: whether it breaks off every reply.
         crash_on: target of the requests that crash it.
         crashes: times of its crashes, on the loop's clock.
@@ -86,6 +88,8 @@
     fails: bool = False
     status: int = 200
     is_sealed: bool = True
+    is_leaving: bool = False
+    quiet_time: float | None = None
     breaks: bool = False
     crash_on: str | None = None
     crashes: list[float] = field(default_factory=list)
@@ -202,6 +206,8 @@
             headers=(),
             body=fake.body,
             outcome=outcome,
+            is_leaving=fake.is_leaving,
+            quiet_time=fake.quiet_time if status == 503 else None,
             seal=Seal(f'{fake.name}.{len(fake.arrivals)}') if fake.is_sealed else None,
         )
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -4,6 +4,8 @@
 import socket
 import struct
 from collections import deque
+from datetime import UTC, datetime, timedelta
+from email.utils import format_datetime
 
 import pytest
 
@@ -329,6 +331,85 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize(
+    ('value', 'quiet_time'),
+    [
+        ('3', 3),
+        ('0.25', 0.25),
+        ('0', None),
+        ('0.0', None),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('1e3', None),
+        ('soon', None),
+        ('', None),
+        ('3, 4', None),
+        ('9' * 15, 10**15 - 1),
+        ('9' * 400, None),
+        ('Wed, 21 Oct 2015 07:28:00 GMT', None),
+        ('Wed, 21 Oct 99999 07:28:00 GMT', None),
+    ],
+)
+def test_quiet_time_is_read_from_retry_after(value, quiet_time):
+    """It holds seconds or a date; anything else, or a time in the past, asks for none.
+
+    It is addressed to this host and is not forwarded.
+    """
+
+    async def scene():
+        refusal = make_response(status='503 Full', Retry_After=value)
+        async with ScriptedServer(refusal) as script:
+            [(reply, _, _)] = await exchange(script, make_request())
+            assert reply.quiet_time == quiet_time
+            assert b'retry-after' not in dict(reply.headers)
+
+    asyncio.run(scene())
+
+
+def test_quiet_time_may_be_a_date():
+    """A date in the future is converted to the seconds until then."""
+
+    async def scene():
+        moment = datetime.now(UTC) + timedelta(days=365)
+        value = format_datetime(moment, usegmt=True)
+        refusal = make_response(status='503 Full', Retry_After=value)
+        async with ScriptedServer(refusal) as script:
+            [(reply, _, _)] = await exchange(script, make_request())
+            assert reply.quiet_time > timedelta(days=364).total_seconds()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize('status', ['200 OK', '429 Later', '500 Failed'])
+def test_only_status_503_asks_for_quiet(status):
+    """Other replies may have the header for reasons of their own."""
+
+    async def scene():
+        async with ScriptedServer(
+            make_response(status=status, Retry_After=3)
+        ) as script:
+            [(reply, _, _)] = await exchange(script, make_request())
+            assert reply.quiet_time is None
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize('status', ['200 OK', '404 Missing', '500 Failed', '503 Full'])
+def test_any_reply_may_announce_that_the_upstream_leaves(status):
+    """The announcement is addressed to this host and is not forwarded."""
+
+    async def scene():
+        kept = make_response(status=status, Server_Leaving=0)
+        leaving = make_response(status=status, Server_Leaving=1)
+        async with ScriptedServer(kept, leaving) as script:
+            outcomes = await exchange(script, make_request(), make_request())
+            assert [reply.is_leaving for reply, _, _ in outcomes] == [False, True]
+            assert b'server-leaving' not in dict(outcomes[1][0].headers)
+
+    asyncio.run(scene())
+
+
 def test_extra_bytes_make_the_connection_unusable():
     """Bytes after a complete response could be taken for the next one.
 
