Ignore SIGHUP until a starting host has read its settings

Change: the entry point ignores the signal before it imports the host, which takes most of the start, and the handler is installed before the services start.

--- a/src/rattanspoke/_edge_process.py
+++ b/src/rattanspoke/_edge_process.py
@@ -131,12 +131,12 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     log = structlog.get_logger()
-    async with EdgeProcess(settings) as process, asyncio.TaskGroup() as tasks:
-        reload = SettingsReload(path, settings, process.apply_settings)
-        loop.add_signal_handler(signal.SIGHUP, reload.reload)
-        supervisor = process.kernel.find(SUPERVISOR)
-        reload_work = BackgroundWork('settings', reload.poll, Importance.AUXILIARY)
-        reload_task = tasks.create_task(supervisor.run(reload_work))
+    starting = EdgeProcess(settings)
+    reload = SettingsReload(path, settings, starting.apply_settings)
+    loop.add_signal_handler(signal.SIGHUP, reload.reload)
+    async with starting as process, asyncio.TaskGroup() as tasks:
+        polling = BackgroundWork('settings', reload.poll, Importance.AUXILIARY)
+        reload_task = tasks.create_task(process.kernel.find(SUPERVISOR).run(polling))
         log.info('started', host=settings.host, callers=settings.callers)
         await stop_requested.wait()
         reload_task.cancel()
--- a/src/rattanspoke/_platform_main.py
+++ b/src/rattanspoke/_platform_main.py
@@ -3,42 +3,19 @@
 A host starts many times a day and needs nothing of the command line.
 """
 
-import faulthandler
-import logging
-import os
-import sys
-from collections.abc import Callable
-from pathlib import Path
+import signal
+from importlib import import_module
 
-from ._edge_process import run_edge
-from ._exit_codes import ExitCode
-from .model import SettingsError
-from .observability import configure_logs
-from .platform import SETTINGS_VARIABLE, load_host_settings
 
+def main() -> None:
+    """Run a host with the settings file that the environment names, then exit.
 
-def run_platform_host(path: Path, report_error: Callable[[str], object]) -> ExitCode:
-    """Run one host on the users' platform until SIGTERM or SIGINT.
-
-    Args:
-        path: the platform's settings file.
-        report_error: is called with the reason when the settings are not valid.
+    SIGHUP tells a host to reload its settings. Before it has read them there is nothing
+    to reload, but the signal's default action would end the process, so it is ignored
+    before the other modules are imported, which takes most of the start.
     """
-    try:
-        settings = load_host_settings(path)
-    except SettingsError as error:
-        report_error(str(error))
-        return ExitCode.INVALID
-    configure_logs('info', sys.stdout)
-    faulthandler.enable()  # prints a traceback to stderr if native code crashes
-    return ExitCode.OK if run_edge(path, settings) else ExitCode.FAILED
-
-
-def main() -> None:
-    """Run a host with the settings file that the environment names, then exit."""
-    logging.basicConfig(level=logging.WARNING)
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
-    sys.exit(run_platform_host(path, lambda reason: sys.stderr.write(f'{reason}\n')))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import_module('._platform_host', __package__).main()
 
 
 if __name__ == '__main__':
--- a/src/rattanspoke/commands/_host.py
+++ b/src/rattanspoke/commands/_host.py
@@ -6,7 +6,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument
 
-from .._platform_main import run_platform_host
+from .._platform_host import run_platform_host
 from ..platform import SETTINGS_VARIABLE
 
 
