--- a/src/rattanspoke/platform/_settings.py
+++ b/src/rattanspoke/platform/_settings.py
@@ -1,5 +1,6 @@
 """Settings file of the platform: lines of `name=value`, lists separated by commas."""
 
+import math
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -91,14 +92,17 @@
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
-        """Return a number, or the default, if there is one, when it is missing."""
+        """Return a number from zero, or the default, if any, when it is missing."""
         if default is not None and not self._values.get(name):
             return default
         value = self.text(name)
         try:
-            return float(value)
+            number = float(value)
         except ValueError as error:
             raise SettingsError(f'{name}: {value!r} is not a number') from error
+        if not math.isfinite(number) or number < 0:
+            raise SettingsError(f'{name}: {value!r} is not a finite number from zero')
+        return number
 
     def milliseconds(self, name: str, default: float) -> Seconds:
         """Return in seconds a duration that the file states in milliseconds."""
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -60,6 +60,8 @@
     [
         (SETTINGS.replace('zone=tacoma\n', ''), 'zone: is missing'),
         (SETTINGS.replace('graceS=6', 'graceS=soon'), "graceS: 'soon' is not a number"),
+        (SETTINGS.replace('graceS=6', 'graceS=nan'), "graceS: 'nan' is not a finite"),
+        (SETTINGS.replace('graceS=6', 'graceS=-1'), "graceS: '-1' is not a finite"),
         (SETTINGS + 'no separator\n', "'no separator' is not name=value"),
         (
             SETTINGS + 'bootstrap=maybe\n',
