--- a/src/rattanspoke/contracts/_edges.py
+++ b/src/rattanspoke/contracts/_edges.py
@@ -286,7 +286,7 @@
         """Apply changes that this host read from the store and replicate them."""
 
 
-class NoticeBoard(Protocol):
+class NoticeRegistry(Protocol):
     """What upstreams announce about themselves in their replies to this host."""
 
     def note_reply(self, target: Registration, reply: UpstreamReply) -> None:
--- a/src/rattanspoke/contracts/_keys.py
+++ b/src/rattanspoke/contracts/_keys.py
@@ -16,7 +16,7 @@
     Directory,
     EdgeRules,
     Fleet,
-    NoticeBoard,
+    NoticeRegistry,
     ObjectStore,
     Readiness,
     ReplicaSelection,
@@ -82,7 +82,7 @@
 SLOW_START_ADMISSION: ServiceKey[SlowStartAdmission] = ServiceKey(
     'slow start admission'
 )
-UPSTREAM_NOTICES: ServiceKey[NoticeBoard] = ServiceKey('upstream notices')
+UPSTREAM_NOTICES: ServiceKey[NoticeRegistry] = ServiceKey('upstream notices')
 CONNECTION_POOLS: ServiceKey[ConnectionPools] = ServiceKey('connection pools')
 STATE_REPLICATION: ServiceKey[StateReplication] = ServiceKey('state replication')
 REPLICA_SELECTION: ServiceKey[ReplicaSelection] = ServiceKey('replica selection')
--- a/src/rattanspoke/contracts/_supervision.py
+++ b/src/rattanspoke/contracts/_supervision.py
@@ -10,12 +10,12 @@
 
 @unique
 class Importance(Enum):
-    """What a host is worth while one of its background tasks keeps failing.
+    """Whether a host can keep its promises while background work keeps failing.
 
     Attributes:
-        ESSENTIAL: the host breaks promises, such as to follow the state in the store,
-            and is not ready for callers.
-        AUXILIARY: the host serves as before.
+        ESSENTIAL: it cannot, for example because it no longer follows the state in the
+            store, so it is not ready for callers.
+        AUXILIARY: it can, and serves as before.
     """
 
     ESSENTIAL = 'essential'
--- a/src/rattanspoke/services/_connection_pools.py
+++ b/src/rattanspoke/services/_connection_pools.py
@@ -17,7 +17,7 @@
     UPSTREAM_REFUSED,
     Counters,
     Metric,
-    NoticeBoard,
+    NoticeRegistry,
     UpstreamConnector,
     UpstreamHttpConnection,
 )
@@ -95,7 +95,7 @@
     tasks: Tasks
     counters: Counters
     bus: Bus
-    notices: NoticeBoard
+    notices: NoticeRegistry
     limit: Callable[[], int]
     open_count: int = 0
     _needs_replacement: bool = False
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -246,13 +246,13 @@
 )
 def test_every_notice_holds_until_its_end(notices):
     """A later notice never shortens an earlier one, and none exceeds the limit."""
-    board = UpstreamNotices(DRAIN_TIME)
+    registry = UpstreamNotices(DRAIN_TIME)
     now = Seconds(0)
     ends = []
     for gap, wait in notices:
         now = Seconds(now + gap)
-        board.note_quiet(ONE, Seconds(wait), now)
+        registry.note_quiet(ONE, Seconds(wait), now)
         ends.append(now + min(max(0, wait), MAX_QUIET))
-        left = board.measure_quiet(ONE, now)
+        left = registry.measure_quiet(ONE, now)
         assert left == pytest.approx(max(ends) - now)
         assert left <= MAX_QUIET or left == pytest.approx(MAX_QUIET)
