Recover the suspects of a crash from a peer after a start

Change: a host that starts asks the first peer that answers for its suspects, with the age of their crashes, so that a block ends when it would have ended. It does not wait for the answer before it is ready; after 10 s without one it goes without, and says so.

Shown by test_edge_crashes: the rolling restart failed without the new service (the restarted host sent the request on).

--- a/src/rattanspoke/_edge.py
+++ b/src/rattanspoke/_edge.py
@@ -52,6 +52,7 @@
     HostSlowStartAdmission,
     HostStateReplication,
     HostSupervisor,
+    HostSuspectRecovery,
     HostSuspects,
     HostUpstreamNotices,
     PeerLinks,
@@ -59,6 +60,7 @@
     UpstreamDirectory,
 )
 
+SUSPECT_RECOVERY: ServiceKey[HostSuspectRecovery] = ServiceKey('suspect recovery')
 HOST_REGISTRY: ServiceKey[HostRegistry] = ServiceKey('host registry')
 STORE_WATCHER: ServiceKey[StoreWatcher] = ServiceKey('store watcher')
 
@@ -105,9 +107,6 @@
     """
     kernel = Kernel()
 
-    def neighbours() -> Iterable[HostId]:
-        return kernel.find(FLEET).neighbours()
-
     _provide_adapters(kernel, identity, adapters)
     _provide_foundations(kernel, rules)
     kernel.provide(PEERS, PeerLinks(kernel))
@@ -116,8 +115,7 @@
     kernel.provide(FLEET, HostFleet(kernel))
     kernel.provide(HOST_REGISTRY, HostRegistry(kernel, entry))
     kernel.provide(STATE_REPLICATION, HostStateReplication(kernel))
-    kernel.provide(SUSPECTS, HostSuspects(kernel, neighbours, is_forwarding=True))
-    kernel.provide(CRASH_GUARD, HostCrashGuard(kernel))
+    _provide_crash_protection(kernel)
     kernel.provide(SLOW_START_ADMISSION, HostSlowStartAdmission(kernel))
     kernel.provide(UPSTREAM_NOTICES, HostUpstreamNotices(kernel))
     kernel.provide(CONNECTION_POOLS, HostConnectionPools(kernel))
@@ -135,6 +133,17 @@
     kernel.provide(LIFECYCLE, HostLifecycle())
 
 
+def _provide_crash_protection(kernel: Kernel) -> None:
+    """Provide the services that find and refuse requests that crash upstreams."""
+
+    def neighbours() -> Iterable[HostId]:
+        return kernel.find(FLEET).neighbours()
+
+    kernel.provide(SUSPECTS, HostSuspects(kernel, neighbours, is_forwarding=True))
+    kernel.provide(SUSPECT_RECOVERY, HostSuspectRecovery(kernel))
+    kernel.provide(CRASH_GUARD, HostCrashGuard(kernel))
+
+
 def _provide_adapters(
     kernel: Kernel, identity: Identity, adapters: EdgeAdapters
 ) -> None:
--- a/src/rattanspoke/contracts/_services.py
+++ b/src/rattanspoke/contracts/_services.py
@@ -39,6 +39,7 @@
     StoredObject,
     SubReply,
     SubRequest,
+    SuspectList,
     UpstreamId,
     UpstreamRecord,
     Warmth,
@@ -347,6 +348,12 @@
     def report_crash(self, report: CrashReport) -> None:
         """Count a crash on this host and report it to every live host."""
 
+    def describe(self) -> SuspectList:
+        """Return the newest suspects, for a host that has just started."""
+
+    def adopt(self, known: SuspectList) -> int:
+        """Add suspects that a peer described; return how many were new."""
+
 
 class OwnedUpstreams(Protocol):
     """The upstreams that this host owns, with a queue and connections for each.
--- a/src/rattanspoke/decisions/_crash_suspects.py
+++ b/src/rattanspoke/decisions/_crash_suspects.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..model import Fingerprint, Seconds
+from ..model import Fingerprint, Seconds, SuspectList, SuspectRecord
 
 BLOCKING_CRASHES = 2  # crashes blamed on a request after which it is blocked
 # Time within which all hosts notice the broken connections of one event.
@@ -24,6 +24,7 @@
 BLOCK_TIME = Seconds(60)  # since the last crash of a blocked request
 # Time since its last crash after which a suspect is forgotten.
 SUSPECT_RETENTION = Seconds(300)
+MAX_DESCRIBED = 256  # suspects in one message to a peer
 MAX_SUSPECTS = 10_000  # beyond this, the suspects recorded first are forgotten
 
 
@@ -117,6 +118,48 @@
             return False
         return now - suspect.last_crash < BLOCK_TIME
 
+    def describe(self, now: Seconds) -> SuspectList:
+        """Return the newest suspects, for a host that has just started."""
+        self._drop_expired(now)
+        newest = sorted(
+            self._suspects.items(), key=lambda each: each[1].last_crash, reverse=True
+        )[:MAX_DESCRIBED]
+        records = tuple(
+            SuspectRecord(
+                fingerprint=fingerprint,
+                crashes=tuple(sorted(suspect.crashes)),
+                moments=suspect.moments,
+                crash_age=Seconds(now - suspect.last_crash),
+                moment_age=Seconds(now - suspect.last_moment),
+            )
+            for fingerprint, suspect in newest
+        )
+        crashes = {crash for record in records for crash in record.crashes}
+        blamed = {crash: tuple(sorted(self._blamed[crash])) for crash in crashes}
+        return SuspectList(records, blamed)
+
+    def adopt(self, known: SuspectList, now: Seconds) -> int:
+        """Add suspects that a peer described; return how many were new.
+
+        What this host has found out itself since it started is newer and stays.
+        """
+        added = 0
+        for record in known.suspects:
+            if record.fingerprint in self._suspects or not record.crashes:
+                continue
+            added += 1
+            self._suspects[record.fingerprint] = _Suspect(
+                last_crash=Seconds(now - record.crash_age),
+                last_moment=Seconds(now - record.moment_age),
+                moments=record.moments,
+                crashes=set(record.crashes),
+            )
+            for crash in record.crashes:
+                blamed = known.blamed.get(crash, (record.fingerprint,))
+                self._blamed.setdefault(crash, set()).update(blamed)
+        self._drop_expired(now)
+        return added
+
     def _is_convicted(self, suspect: _Suspect) -> bool:
         if suspect.moments < BLOCKING_CRASHES:
             return False
--- a/src/rattanspoke/model/__init__.py
+++ b/src/rattanspoke/model/__init__.py
@@ -12,6 +12,9 @@
     RosterPull,
     StatePull,
     StateUpdate,
+    SuspectList,
+    SuspectRecord,
+    SuspectsPull,
 )
 from ._errors import (
     KernelError,
@@ -257,6 +260,9 @@
     'StoredObject',
     'SubReply',
     'SubRequest',
+    'SuspectList',
+    'SuspectRecord',
+    'SuspectsPull',
     'SuspicionLevel',
     'TailFirst',
     'UpstreamError',
--- a/src/rattanspoke/model/_edge_messages.py
+++ b/src/rattanspoke/model/_edge_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from ._ids import HostId, Revision, Seconds, ZoneId
+from ._ids import Fingerprint, HostId, Revision, Seconds, ZoneId
 from ._records import StoredObject
 from ._registrations import StateKind
 
@@ -82,6 +82,49 @@
     is_whole: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectsPull:
+    """Request to a peer for the requests that it suspects of crashing upstreams."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SuspectRecord:
+    """What a host knows of one request that is suspected of crashing upstreams.
+
+    Attributes:
+        fingerprint: the digest of the request.
+        crashes: the crashes that it is blamed for.
+        moments: the number of these crashes, those of one moment counted once.
+        crash_age: seconds since the last of them.
+        moment_age: seconds since the first one of the last moment.
+    """
+
+    fingerprint: Fingerprint
+    crashes: tuple[str, ...]
+    moments: int
+    crash_age: Seconds
+    moment_age: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectList:
+    """The newest suspects of a host.
+
+    Attributes:
+        suspects: the suspects.
+        blamed: all requests that are blamed, for each crash of a suspect.
+    """
+
+    suspects: tuple[SuspectRecord, ...]
+    blamed: dict[str, tuple[Fingerprint, ...]]
+
+
 EdgeMessage: TypeAlias = (
-    EdgeHeartbeat | StatePull | StateUpdate | RosterPull | FleetRoster
+    EdgeHeartbeat
+    | StatePull
+    | StateUpdate
+    | RosterPull
+    | FleetRoster
+    | SuspectsPull
+    | SuspectList
 )
--- a/src/rattanspoke/services/__init__.py
+++ b/src/rattanspoke/services/__init__.py
@@ -25,7 +25,7 @@
 from ._state import HostSharedState
 from ._state_replication import HostStateReplication
 from ._store_watcher import StoreWatcher
-from ._suspects import HostSuspects
+from ._suspects import HostSuspectRecovery, HostSuspects
 from ._tasks import HostSupervisor, Tasks, read_clock
 from ._telemetry import HostCounters, HostTimeline
 from ._upstream_notices import HostUpstreamNotices
@@ -55,6 +55,7 @@
     'HostSlowStartAdmission',
     'HostStateReplication',
     'HostSupervisor',
+    'HostSuspectRecovery',
     'HostSuspects',
     'HostTimeline',
     'HostUpstreamLoads',
--- a/src/rattanspoke/services/_suspects.py
+++ b/src/rattanspoke/services/_suspects.py
@@ -1,11 +1,26 @@
-"""Queries of death: requests suspected of crashing upstreams, shared by all hosts."""
+"""Queries of death: requests suspected of crashing upstreams, shared by all hosts.
 
+A host that has started recovers the knowledge of the others from a peer.
+"""
+
+import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import Self
 
-from ..contracts import COUNTERS, IDENTITY, PEERS, TIMELINE, Metric
+import structlog
+
+from ..contracts import (
+    COUNTERS,
+    FLEET,
+    IDENTITY,
+    PEERS,
+    SUSPECTS,
+    TIMELINE,
+    Importance,
+    Metric,
+)
 from ..decisions import CrashSuspects
 from ..kernel import Kernel
 from ..model import (
@@ -15,10 +30,17 @@
     Fingerprint,
     HostId,
     Message,
+    PeerError,
     Seconds,
+    SuspectList,
+    SuspectsPull,
 )
-from ._tasks import ignore_reply, read_clock
+from ._tasks import TaskOwner, ignore_reply, read_clock
 
+ANSWER_TIMEOUT = Seconds(1)  # of a peer that is asked for suspects
+RETRY_INTERVAL = Seconds(0.1)  # between looks for a peer that answers
+# Time after which a host goes without: no peer has been heard, or none answers.
+GIVE_UP_TIME = Seconds(10)
 MAX_SEEN_REPORTS = 256  # reports that are recognised when they arrive again
 
 
@@ -72,6 +94,14 @@
         self._timeline.note(EventKind.SUSPICION, f'{len(blamed)} after {report.crash}')
         self._send(CrashReport(report.crash, blamed), self._identity.host)
 
+    def describe(self) -> SuspectList:
+        """Return the newest suspects, for a host that has just started."""
+        return self._suspicion.describe(_now())
+
+    def adopt(self, known: SuspectList) -> int:
+        """Add suspects that a peer described; return how many were new."""
+        return self._suspicion.adopt(known, _now())
+
     async def __aenter__(self) -> Self:
         self._peers.serve(CrashReport, self._answer_report)
         return self
@@ -98,5 +128,51 @@
                 self._peers.post(host, report, ignore_reply)
 
 
+class HostSuspectRecovery(TaskOwner):
+    """Ask a peer for its suspects at the start, and answer those that ask.
+
+    Without this, a rolling restart would forget which requests crash upstreams, and
+    each of them could crash some more.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._peers = kernel.find(PEERS)
+        self._fleet = kernel.find(FLEET)
+        self._suspects = kernel.find(SUSPECTS)
+        self._log = structlog.get_logger()
+
+    async def __aenter__(self) -> Self:
+        self._peers.serve(SuspectsPull, self._answer_pull)
+        self._supervise('suspects of a peer', self._recover, Importance.AUXILIARY)
+        return self
+
+    async def _answer_pull(self, pull: SuspectsPull, sender: HostId) -> Message:
+        return self._suspects.describe()
+
+    async def _recover(self) -> None:
+        """Adopt the suspects of the first peer that answers."""
+        give_up_at = read_clock() + GIVE_UP_TIME
+        while read_clock() < give_up_at:
+            for host in self._fleet.neighbours():
+                if await self._pull(host):
+                    return
+            await asyncio.sleep(RETRY_INTERVAL)
+        self._log.info('suspects not learned')
+
+    async def _pull(self, host: HostId) -> bool:
+        """Adopt the suspects of a peer; return whether it answered."""
+        try:
+            known = await self._peers.call(host, SuspectsPull(), ANSWER_TIMEOUT)
+        except PeerError as error:
+            self._log.info('suspects not pulled', peer=host, reason=str(error))
+            return False
+        if not isinstance(known, SuspectList):
+            return False
+        added = self._suspects.adopt(known)
+        self._log.info('suspects learned', peer=host, added=added)
+        return True
+
+
 def _now() -> Seconds:
     return Seconds(read_clock())
--- a/tests/test_edge_crashes.py
+++ b/tests/test_edge_crashes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from rattanspoke.contracts import CALL_BROKEN
-from rattanspoke.decisions import CONFIRMATION_WINDOW, CrashDetector
+from rattanspoke.decisions import CONFIRMATION_WINDOW, CrashDetector, CrashSuspects
 from rattanspoke.model import (
     Fingerprint,
     Incarnation,
@@ -15,7 +15,7 @@
     Seconds,
 )
 
-from .edges import SETTLE_SECONDS, Edge, build_route, build_shard_route
+from .edges import SETTLE_SECONDS, ZONES, Edge, build_route, build_shard_route
 
 QUERY_OF_DEATH = '/one/poison'
 CRASH_BOUND = 3  # crashes that one request may cause through all hosts together
@@ -90,6 +90,68 @@
     run(scene())
 
 
+def test_rolling_restart_forgets_no_request_that_crashes_upstreams(run):
+    """A host that starts learns from a peer what is blocked, and since when.
+
+    Each restarted host once let the request crash upstreams again.
+    """
+
+    async def scene():
+        async with Edge(hosts=3) as edge:
+            edge.add_service('one', replicas=9, crash_on=QUERY_OF_DEATH)
+            edge.configure(build_route('one'))
+            await asyncio.sleep(SETTLE_SECONDS)
+            for number in range(12):
+                await press_on(edge, f'host-{number % 3}')
+            crashes = count_crashes(edge)
+            assert crashes <= CRASH_BOUND
+            for number, zone in enumerate(ZONES):
+                await edge.stop(f'host-{number}')
+                await asyncio.sleep(1)
+                await edge.start(f'host-{number}', zone)
+                await asyncio.sleep(SETTLE_SECONDS)
+                for _ in range(4):
+                    answer = await press_on(edge, f'host-{number}')
+                    assert answer == Refused(Reason.SUSPECT, answer.retry_after)
+            assert count_crashes(edge) == crashes
+            # The block ends when it would have ended without the restarts.
+            await asyncio.sleep(60)
+            answer = await press_on(edge, 'host-0')
+            assert answer != Refused(Reason.SUSPECT, getattr(answer, 'retry_after', 0))
+
+    run(scene())
+
+
+async def press_on(edge, host):
+    """Send the query of death and others to a host; return the answer to the first."""
+    answer = await edge.ask(host, QUERY_OF_DEATH)
+    for number in range(6):
+        await edge.ask(host, f'/one/{number}')
+    await asyncio.sleep(0.3)
+    return answer
+
+
+def count_crashes(edge):
+    """Return the crashes of all upstreams so far."""
+    return sum(len(upstream.crashes) for upstream in edge.upstreams.values())
+
+
+def test_restored_suspects_are_judged_as_before():
+    """Description and adoption keep blame, block and age, and no newer finding."""
+    now = Seconds(100)
+    suspects, restored = CrashSuspects(), CrashSuspects()
+    other = Fingerprint('q')
+    suspects.note_crash('a', (FINGERPRINT, other), Seconds(90))
+    suspects.note_crash('b', (FINGERPRINT,), Seconds(95))
+    assert suspects.is_blocked(FINGERPRINT, now)
+    assert restored.adopt(suspects.describe(now), Seconds(7)) == 2
+    assert restored.is_blocked(FINGERPRINT, Seconds(7))
+    assert restored.is_suspect(other, Seconds(7))
+    assert not restored.is_blocked(other, Seconds(7))
+    assert not restored.is_blocked(FINGERPRINT, Seconds(7 + 56))
+    assert restored.adopt(suspects.describe(now), Seconds(8)) == 0
+
+
 def test_search_that_crashes_upstreams_is_tried_on_one_shard(run):
     """A suspect search is sent to a single upstream before it is fanned out."""
 
