--- a/tests/test_any_bytes.py
+++ b/tests/test_any_bytes.py
@@ -1,4 +1,4 @@
-"""Decoders of bytes from outside, over any input: valid neighbours, or a known error."""
+"""Decoders of bytes from outside: any input gives valid entries or a known error."""
 
 import json
 from unittest.mock import Mock
